--- /dev/null
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -0,0 +1,100 @@
+package pipitstage.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Tells the platform of messages that ended undelivered, each until it has been heard. */
+final class Notices {
+    /** A message is lost 300 ms after its time is up: what goes unanswered has to be said again by then. */
+    private static final long PATIENCE_MS = 200;
+    private static final long PAUSE_MS = 50;
+    /** Keeps a request, whose ids have 200 characters at the most, within the 64 KiB that a body may have. */
+    private static final int MOST_IN_A_REQUEST = 200;
+    private static final int HEARD = 204;
+    private static final int UNREADABLE = 400;
+
+    private final EventLoop loop;
+    private final AgentClient agent;
+    private final Consumer<Message> heard;
+    private final JsonFactory json = new JsonFactory();
+    /** What has not been heard yet, by number, in the order decided. */
+    private final Map<Long, Message> unheard = new LinkedHashMap<>();
+    private int most = MOST_IN_A_REQUEST;
+    private boolean busy;
+
+    Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
+        this.loop = loop;
+        this.heard = heard;
+        agent = new AgentClient(loop, address);
+    }
+
+    /** Tells how a message ended; what is said while an earlier request is out goes with the next one. */
+    void send(Message message) {
+        unheard.put(message.number, message);
+        if (!busy) {
+            post();
+        }
+    }
+
+    /** Goes to another address from now on; what is out there unanswered is told anew. */
+    void moveTo(InetSocketAddress address) {
+        agent.moveTo(address);
+    }
+
+    private void post() {
+        busy = !unheard.isEmpty();
+        if (busy) {
+            List<Message> told = unheard.values().stream().limit(most).toList();
+            agent.request(HttpMethod.POST, "/status", lines(told), PATIENCE_MS, (status, body) -> answered(told, status));
+        }
+    }
+
+    private void answered(List<Message> told, int status) {
+        // Guards against one notice that can't be read, which would hold up all that are told with it.
+        boolean lost = status == UNREADABLE && told.size() == 1;
+        if (status == HEARD || lost) {
+            if (lost) {
+                Log.line("the notice of message " + told.get(0).content.callId() + " was not understood");
+            }
+            most = MOST_IN_A_REQUEST;
+            told.forEach(message -> unheard.remove(message.number));
+            told.forEach(heard);
+            post();
+            return;
+        }
+        if (status == UNREADABLE) {
+            most = 1;
+        }
+        loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private String lines(List<Message> told) {
+        StringWriter text = new StringWriter();
+        for (Message message : told) {
+            try (JsonGenerator line = json.createGenerator(text)) {
+                line.writeStartObject();
+                line.writeStringField("ref", message.content.callId());
+                line.writeStringField("result", message.end.refused() ? "bounced" : "dead");
+                if (message.end.refused() && message.end.retryIn() > 0) {
+                    line.writeNumberField("wait_ms", (message.end.retryIn() + 999) / 1000);
+                }
+                line.writeEndObject();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            text.append('\n');
+        }
+        return text.toString();
+    }
+}
