--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -33,6 +33,7 @@
     private final Listener listener;
     private final JsonFactory json = new JsonFactory();
     private long version = -1;
+    private int failures;
 
     Discovery(EventLoop loop, InetSocketAddress address, Listener listener) {
         this.loop = loop;
@@ -61,9 +62,20 @@
 
     private void answered(int status, String body) {
         boolean taken = status == 200 && take(body);
+        tell(taken, status);
         loop.schedule(this::ask, taken ? BREATH_MS : PAUSE_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Tells staff when the watch is lost and when it is back: the list is old meanwhile. */
+    private void tell(boolean taken, int status) {
+        if (!taken && failures++ == 0) {
+            Log.line("discovery: no list, status " + status);
+        } else if (taken && failures > 0) {
+            Log.line("discovery: a list again after " + failures + " calls in vain");
+            failures = 0;
+        }
+    }
+
     private boolean take(String body) {
         try (JsonParser parser = json.createParser(body)) {
             parser.nextToken();
@@ -73,6 +85,7 @@
             List<Target> targets = Target.readAll(list);
             version = rev;
             if (whole || !targets.isEmpty()) {
+                Log.line("discovery: version " + rev + ", " + targets.size() + (whole ? " entries" : " changes"));
                 listener.list(whole ? ListKind.FULL : ListKind.CHANGES, rev, targets);
             }
             return true;
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -27,6 +27,7 @@
     private static final long COME_BACK = 1_000_000;
     /** How long passes may take while messages are still taken on; clients wait 400 ms for their answer. */
     private static final long MOST_LAG = 400_000;
+    private static final long FIGURES_MS = 2000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -41,6 +42,7 @@
     private final Map<Long, Message> messages = new LinkedHashMap<>();
     private final Map<String, Message> byCallId = new HashMap<>();
     private final Map<String, List<HostClient.Outgoing>> outgoing = new LinkedHashMap<>();
+    private final Counters counters = new Counters();
     private List<Event> events = new ArrayList<>();
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
@@ -66,6 +68,7 @@
 
     /** Takes in the list known from before and what the journal holds. */
     void start() {
+        loop.scheduleAtFixedRate(this::logFigures, FIGURES_MS, FIGURES_MS, TimeUnit.MILLISECONDS);
         if (!config.known().isEmpty()) {
             list(Policy.ListKind.CACHED, config.knownVersion(), config.known());
         }
@@ -82,6 +85,15 @@
         }
     }
 
+    /** Tells staff where messages are and what has become of others; nothing while there is nothing to tell. */
+    private void logFigures() {
+        String counts = counters.take();
+        if (held > 0 || !counts.isEmpty()) {
+            Log.line("held " + held + ", calls " + attemptsOut + " of " + config.settings().limits().callSlots() + ", "
+                    + hosts.figures() + (counts.isEmpty() ? "" : "; " + counts));
+        }
+    }
+
     /** Notices go to another address from now on, also those that have no answer yet. */
     void noticesTo(InetSocketAddress address) {
         notices.moveTo(address);
@@ -147,10 +159,14 @@
         // what may have lain unread so long is refused at once. It harms where the client has come just now.
         boolean behind = clock.micros() - unreadSince > MOST_LAG;
         Message message = new Message(nextNumber, content);
-        if (!ready || behind || !reachable || held >= config.settings().limits().maxOpen() || !journal.accept(message)) {
+        String obstacle = !ready ? "not ready" : behind ? "behind" : !reachable ? "unknown destination"
+                : held >= config.settings().limits().maxOpen() ? "full" : !journal.accept(message) ? "no disk" : null;
+        if (obstacle != null) {
+            counters.count("turned away: " + obstacle);
             client.refused(COME_BACK);
             return null;
         }
+        counters.count("taken");
         nextNumber++;
         held++;
         message.client = client;
@@ -176,6 +192,7 @@
     void withdraw(Message message) {
         message.client = null;
         if (messages.containsKey(message.number) && message.end == null && !message.over) {
+            counters.count("withdrawn");
             add(new Policy.Withdrawn(message.number));
             close(message);
         }
@@ -253,6 +270,7 @@
     @Override
     public void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report) {
         Message message = attempt.message;
+        counters.count(result.name());
         attempt.result = result;
         message.attemptEnded();
         attemptsOut--;
@@ -300,6 +318,7 @@
             return;
         }
         message.end = end;
+        counters.count(end.refused() ? "refused" : "failed");
         if (message.client == null) {
             message.endWatch.cancel(false);
             held--;
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -349,6 +349,13 @@
         results.probed(call.host().route(), result, wait, clock.micros() - call.startedAt(), report);
     }
 
+    /** How the connections stand, for staff. */
+    String figures() {
+        int queued = hosts.values().stream().mapToInt(host -> host.queue.size()).sum();
+        return "connections " + connections.size() + " of " + mostConnections + " (" + idle.size() + " idle), "
+                + queued + " calls without one, " + crowdedOut.size() + " hosts crowded out";
+    }
+
     long now() {
         return clock.micros();
     }
