Wait for discovery's list longer than discovery itself takes to give up

After a SIGHUP the whole list was asked for and given up at 400 ms, for ever: discovery serves one call after another and each call in vain added to its work. The relay kept calling endpoints that had gone.

--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -18,7 +18,11 @@
      * of what was told meanwhile. Every answer is followed by the next call within a moment.
      */
     private static final long WAIT_MS = 1000;
-    private static final long PATIENCE_MS = 400;
+    /**
+     * Discovery serves one call after another and ends by itself those that it can't get to: one that is given up
+     * before leaves its work there behind, and asking anew each time never comes to an answer.
+     */
+    private static final long PATIENCE_MS = 3000;
     private static final long PAUSE_MS = 100;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
--- a/src/test/java/pipitstage/relay/ReloadTest.java
+++ b/src/test/java/pipitstage/relay/ReloadTest.java
@@ -47,6 +47,32 @@
         }
     }
 
+    @Test
+    void listThatTheNewDiscoveryTellsSlowlyIsWaitedFor() throws IOException {
+        relay.start();
+        try (StubPeer other = StubPeer.always(status(200));
+                StubPeer next = new StubPeer(request -> {
+                    if (request.line().contains("after=")) {
+                        return StubPeer.SILENCE;
+                    }
+                    pause(1000);
+                    return answer(200, list(1, true, target("h2", 7, "one", "in_service", other.address())));
+                })) {
+            relay.moveDiscovery(next);
+            await(() -> next.count("GET /api/targets?after=1&") > 0);
+            assertEquals(202, relay.handIn("m3", "safe", 7));
+            await(() -> other.count("POST") == 1);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     void noticeThatTheOldAddressLeftUnansweredGoesToTheNewOne() throws IOException, InterruptedException {
         discovery.answer(request -> StubPeer.SILENCE);
