Keep connections idle no longer than those that broke had rested

Idle connections were dropped on the way long before the time in the settings, unsaid: the next call on each ended as a reset, which costs a message that may take effect only once its delivery. What breaks after a rest now limits how long connections rest, for all hosts, as new and just used ones hardly broke.

--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -30,6 +30,10 @@
     private static final long PROBE_TIMEOUT = 1_500_000;
     private static final long SECOND = 1_000_000;
     private static final int MOST_BODY = 64 << 10;
+    /** A connection that broke after so short a rest was not dropped for its rest. */
+    private static final long LEAST_KEPT = 100_000;
+    /** The span for which connections are kept doubles in so long without another that broke. */
+    private static final double KEPT_DOUBLES = 10_000_000;
 
     /** Takes in what became of attempts and probes. */
     interface Results {
@@ -94,7 +98,11 @@
     private final Results results;
     private final Bootstrap bootstrap;
     private final boolean reports;
+    /** The longest that a connection is kept idle. */
     private final long idleSpan;
+    /** How long one was found worth keeping, and when. */
+    private long kept;
+    private long keptAt;
     private final int mostConnections;
     private final Map<String, Policy.Kind> kinds = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
@@ -113,6 +121,8 @@
         reports = config.reports();
         // Guards against a call on a connection that the host is just closing: it would end as a reset.
         idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
+        kept = idleSpan;
+        keptAt = clock.micros();
         mostConnections = config.hostConnections();
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
         long connectTimeout = config.settings().limits().connectTimeout();
@@ -301,7 +311,25 @@
         } else {
             host.idle.addLast(connection);
             idle.add(connection);
-            connection.retireAfter(idleSpan);
+            connection.retireAfter(keepFor());
+        }
+    }
+
+    private long keepFor() {
+        return (long) Math.min(idleSpan, kept * Math.pow(2, (clock.micros() - keptAt) / KEPT_DOUBLES));
+    }
+
+    /**
+     * Guards against hosts, and what lies before them, that drop idle connections long before the time in the
+     * settings and say nothing: the next call on each would end as a reset, and a message that may take effect only
+     * once with it. They share the way there, so one that broke speaks for all.
+     */
+    void brokeAfterRest(long rest) {
+        if (rest > LEAST_KEPT) {
+            kept = Math.max(LEAST_KEPT, Math.min(keepFor(), rest) / 2);
+            keptAt = clock.micros();
+            Log.line("a connection broke after " + rest / 1000 + " ms idle, they are kept for " + kept / 1000 + " ms");
+            idle.stream().filter(connection -> connection.rested() > kept).toList().forEach(HostConnection::close);
         }
     }
 
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -33,6 +33,9 @@
     private boolean reusable;
     private boolean informational;
     private boolean answered;
+    /** Since when the connection is idle, and how long it was so before the call that it carries; 0 for its first. */
+    private long restsSince;
+    private long rest;
     private Future<?> timer;
 
     HostConnection(HostClient client, HostClient.Host host) {
@@ -57,6 +60,7 @@
     /** Writes a call; only its last byte's leaving decides whether it may have run. */
     void carry(HostCall next) {
         stopTimer();
+        rest = rested();
         call = next;
         reusable = false;
         decoder.await();
@@ -70,6 +74,11 @@
         });
     }
 
+    /** How long the connection has been idle; 0 where it has not carried a call yet. */
+    long rested() {
+        return restsSince == 0 ? 0 : client.now() - restsSince;
+    }
+
     void retireAfter(long micros) {
         startTimer(micros, this::close);
     }
@@ -124,6 +133,7 @@
                 HostCall done = call;
                 call = null;
                 answered = true;
+                restsSince = client.now();
                 done.complete();
             }
         }
@@ -184,6 +194,9 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
         client.closed(this);
+        if (call != null && !decoder.hasBegun()) {
+            client.brokeAfterRest(rest);
+        }
         lose(HostCall::broken);
     }
 
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -212,4 +212,21 @@
         await(() -> host.requests.size() == 1);
         assertEquals("next", host.requests.get(0).id());
     }
+
+    @Test
+    void connectionIsKeptForLessTimeThanOneThatBrokeHadRested() throws IOException, InterruptedException {
+        relay.start();
+        assertEquals(202, relay.handIn("r1", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        Thread.sleep(400);
+        host.answer(request -> host.count("POST") == 2 ? StubPeer.CLOSE : status(200));
+        assertEquals(202, relay.handIn("r2", "safe", 7));
+        await(() -> host.requests.size() == 3);
+        assertEquals(2, host.connections.size(), "a kept connection broke, a new one took over");
+        long rested = host.requests.get(1).at() - host.requests.get(0).at();
+        Thread.sleep(rested / 1_000_000);
+        assertEquals(202, relay.handIn("r3", "safe", 7));
+        await(() -> host.requests.size() == 4);
+        assertEquals(3, host.connections.size(), "one that rested as long is not trusted");
+    }
 }
