--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -107,6 +107,11 @@
         return sent;
     }
 
+    /** True where nothing is known yet of some message of it. */
+    boolean isOpen() {
+        return !parts.isEmpty();
+    }
+
     void begin(HostConnection carrier) {
         connection = carrier;
     }
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -194,7 +194,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
         client.closed(this);
-        if (call != null && !decoder.hasBegun()) {
+        // Guards against blaming the rest where the relay itself has given the call up.
+        if (call != null && call.isOpen() && !decoder.hasBegun()) {
             client.brokeAfterRest(rest);
         }
         lose(HostCall::broken);
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -229,4 +229,16 @@
         await(() -> host.requests.size() == 4);
         assertEquals(3, host.connections.size(), "one that rested as long is not trusted");
     }
+
+    @Test
+    void callThatTheRelayGivesUpDoesNotShortenTheRestOfConnections() throws IOException, InterruptedException {
+        relay.start();
+        assertEquals(202, relay.handIn("g1", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        Thread.sleep(400);
+        host.answer(request -> StubPeer.SILENCE);
+        assertEquals(202, relay.handIn("g2", "unsafe", 7, 500, "x"));
+        await(() -> relay.noticed("g2", "dead"));
+        assertFalse(relay.log().contains("a connection broke"), relay.log());
+    }
 }
