--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -486,8 +486,9 @@
                 if (!releasing(group)) {
                     group.usualRate = rate(group.sent);
                 }
-                actions.log("out: " + group.routes.get(0).name + (bySilence ? ", silent" : "") + " (failures in a row "
-                        + circuit.run + ", refusals " + group.refusals + ", calls " + group.calls + ", pace "
+                String why = bySilence ? ", silent" : "";
+                actions.log("out: " + group.routes.get(0).name + why + " (failures in a row " + circuit.run
+                        + ", refusals " + group.refusals + ", calls " + group.calls + ", pace "
                         + (float) group.pace + ", usual rate " + (float) group.usualRate + ")");
             }
         }
