Weigh the draw by the time a route holds a slot while slots are scarce

A far route holds a slot about four times as long as a near one (200 ms against 50), and the draw among near-top routes took both as often. While over three quarters of the slots are out, scores are drawn over the expected response; else as before.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -600,11 +600,15 @@
         return route.response == 0 || stale ? FIRST_GUESS : route.response;
     }
 
+    private boolean slotsScarce() {
+        return out.size() > settings.limits().callSlots() * SCARCE_FROM;
+    }
+
     /** Guards against one destination, above all a slow one, that holds every slot. */
     private boolean crowded(Group group, Route route) {
         int slots = settings.limits().callSlots();
         boolean slow = route.response > SLUGGISH / 2 || mute(route, 0.5);
-        boolean scarce = slow || out.size() > slots * SCARCE_FROM;
+        boolean scarce = slow || slotsScarce();
         double part = scarce ? SCARCE_SLOT_SHARE : SLOT_SHARE;
         return group.calls >= (int) Math.ceil(slots * part);
     }
@@ -666,6 +670,8 @@
         double sum = 0;
         for (int i = 0; i < scores.length; i++) {
             scores[i] = scores[i] < top - NEAR_TOP ? 0 : scores[i] + 1;
+            // Guards against slots held by far routes, while near ones serve several calls in the same time.
+            scores[i] /= slotsScarce() ? response(open.get(i)) : 1;
             sum += scores[i];
         }
         double at = random.nextDouble() * sum;
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -392,6 +392,37 @@
         assertTrue(near > 200 && near < 260, "near: " + near);
     }
 
+    @Test
+    void quickRoutesAreDrawnMoreOftenWhileSlotsAreScarce() {
+        Relay busy = new Relay(Relay.settings(10, 1000)).list(route("a", 1, "plain", "east"),
+                route("b", 1, "plain", "west"), route("e", 4, "plain", "east"), route("f", 5, "plain", "east"),
+                route("g", 6, "plain", "east"), route("h", 7, "plain", "east"));
+        long[] even = drawn(busy, 0);
+        for (int destination = 4; destination <= 7; destination++) {
+            busy.accept(2 * destination, "once", destination).accept(2 * destination + 1, "once", destination);
+        }
+        long[] scarce = drawn(busy, 1000);
+        assertTrue(even[1] * 3 > even[0], "drawn by score: " + even[0] + " to " + even[1]);
+        assertTrue(scarce[1] * 3 < scarce[0], "by score over time: " + scarce[0] + " to " + scarce[1]);
+    }
+
+    /** How many calls go to a quick and to a slow route within two seconds. */
+    private static long[] drawn(Relay one, int firstId) {
+        one.sent.clear();
+        for (int id = firstId + 100; id < firstId + 300; id++) {
+            one.accept(id, "safe", 1).pass(10 * MS);
+            answerOlderThan(one, "a", 20 * MS);
+            answerOlderThan(one, "b", 200 * MS);
+        }
+        return new long[] {one.sent.stream().filter(s -> s.route().equals("a")).count(),
+            one.sent.stream().filter(s -> s.route().equals("b")).count()};
+    }
+
+    private static void answerOlderThan(Relay one, String route, long age) {
+        List.copyOf(one.unanswered).stream().filter(s -> s.route().equals(route) && one.now - s.at() >= age)
+                .forEach(s -> one.answer(s.id(), Result.OK));
+    }
+
     @Test
     void whatLosesMostByWaitingGoesFirst() {
         Relay one = new Relay(Relay.settings(1, 100)).list(route("a", 1, "plain", "east"));
