--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -115,6 +115,15 @@
         }
     }
 
+    /** What drains, has an open circuit or told to wait is avoided; being within pace or short of slots is not. */
+    @Override
+    public int unavailable(long now) {
+        return (int) routes.values().stream().filter(route -> route.inList)
+                .filter(route -> !route.listed || now < route.group.waitUntil
+                        || route.circuit.state != CircuitState.CLOSED
+                        || route.group.circuit.state != CircuitState.CLOSED).count();
+    }
+
     /** Guards against a fleet whose every guard costs every relay a round's work: it lets nothing new go. */
     private static boolean onlyRestrains(Event event) {
         return event instanceof PeerNote e && e.bytes().length > 0 && Word.of(e.bytes()[0]) == Word.GUARD;
@@ -967,23 +976,27 @@
             return;
         }
         if (e.kind() != ListKind.CHANGES) {
-            routes.values().forEach(route -> route.listed = false);
+            routes.values().forEach(route -> {
+                route.listed = false;
+                route.inList = false;
+            });
         }
         for (Listed entry : e.entries()) {
             Route route = routes.computeIfAbsent(entry.route(), name -> newRoute(entry));
             route.listed = entry.availability() == Availability.LISTED;
+            route.inList = entry.availability() != Availability.REMOVED;
             route.rate = entry.rate();
         }
         List.copyOf(routes.values()).forEach(this::forgetIfGone);
     }
 
     /**
-     * Guards against a list that changes all day: a route is forgotten once it is not listed, no call to it
+     * Guards against a list that changes all day: a route is forgotten once it is in no list, no call to it
      * is out and no wait that it told runs. Requests keep what they need of it.
      */
     private void forgetIfGone(Route route) {
         Group group = route.group;
-        if (route.listed || !route.out.isEmpty() || now < group.waitUntil) {
+        if (route.inList || !route.out.isEmpty() || now < group.waitUntil) {
             return;
         }
         routes.remove(route.name);
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -13,6 +13,11 @@
     /** Takes in every event of one round, in order of arrival, and then acts once. */
     void onRound(long now, List<Event> events, Actions actions);
 
+    /** How many routes in the list are avoided now; a module that avoids none need not say so. */
+    default int unavailable(long now) {
+        return 0;
+    }
+
     private static void check(boolean sound, String field) {
         if (!sound) {
             throw new IllegalArgumentException(field);
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -47,6 +47,8 @@
         final Group group;
         final Circuit circuit;
         boolean listed;
+        /** Also while it drains. */
+        boolean inList;
         double rate;
         double placeBonus;
         double errorRate;
--- /dev/null
+++ b/src/main/java/pipitstage/relay/AdminServer.java
@@ -0,0 +1,153 @@
+package pipitstage.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** The operators' door: answers one call a connection at an address of its own. */
+final class AdminServer {
+    /** How many callers may be there at once; these descriptors are kept for them. */
+    static final int MOST_CALLERS = 24;
+    private static final int LARGEST_CALL = 4096;
+    /** From connecting; after it the caller is let go, whatever it has sent. */
+    private static final long CALL_MS = 2000;
+
+    /** What operators may ask of the relay. */
+    interface Controls {
+        boolean takesClients();
+
+        String stats();
+
+        /** Sends clients away. */
+        void empty();
+
+        /** Takes clients again. */
+        void refill();
+    }
+
+    private final Controls controls;
+    /** Callers that have no answer yet or still read it, the one that came first ahead. */
+    private final Set<Channel> callers = new LinkedHashSet<>();
+
+    AdminServer(Controls controls) {
+        this.controls = controls;
+    }
+
+    /** Listens for operators at an address. */
+    ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).handler(new AcceptGuard())
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_CALL),
+                                new Caller());
+                    }
+                }).bind(address);
+    }
+
+    private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Future<?> timer;
+        private boolean answered;
+
+        /** Guards against callers that say nothing and stay: those that have stood longest make room. */
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (callers.size() >= MOST_CALLERS) {
+                Channel first = callers.iterator().next();
+                callers.remove(first);
+                first.close();
+            }
+            callers.add(ctx.channel());
+            timer = ctx.executor().schedule(() -> ctx.close(), CALL_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            timer.cancel(false);
+            callers.remove(ctx.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
+            if (!answered) {
+                answered = true;
+                FullHttpResponse answer = answer(call);
+                HttpUtil.setContentLength(answer, answer.content().readableBytes());
+                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
+
+    private FullHttpResponse answer(FullHttpRequest call) {
+        if (call.decoderResult().isFailure()) {
+            return status(HttpResponseStatus.BAD_REQUEST);
+        }
+        HttpMethod method = switch (call.uri()) {
+            case "/healthcheck", "/stats" -> HttpMethod.GET;
+            case "/healthcheck/fail", "/healthcheck/ok" -> HttpMethod.POST;
+            default -> null;
+        };
+        if (method == null) {
+            return status(HttpResponseStatus.NOT_FOUND);
+        }
+        if (!method.equals(call.method())) {
+            return status(HttpResponseStatus.METHOD_NOT_ALLOWED);
+        }
+        switch (call.uri()) {
+            case "/stats" -> {
+                return stats();
+            }
+            case "/healthcheck/fail" -> controls.empty();
+            case "/healthcheck/ok" -> controls.refill();
+            default -> {
+                return status(controls.takesClients() ? HttpResponseStatus.OK
+                        : HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+        return status(HttpResponseStatus.OK);
+    }
+
+    private FullHttpResponse stats() {
+        ByteBuf text = Unpooled.copiedBuffer(controls.stats(), StandardCharsets.UTF_8);
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, text);
+        answer.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        return answer;
+    }
+
+    private static FullHttpResponse status(HttpResponseStatus status) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+}
--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -266,7 +266,7 @@
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
             }
         } else if (head.uri().equals("/-/ready")) {
-            answer(engine.isReady() && !server.isDraining() ? HttpResponseStatus.OK
+            answer(engine.isReady() && server.isWelcoming() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         } else {
             answer(HttpResponseStatus.NOT_FOUND, 0);
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -4,17 +4,17 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
 final class ClientServer {
@@ -23,7 +23,6 @@
     static final String BUDGET = "X-Budget-Ms";
     static final String LOAD_REPORT = "X-Load-Report";
     private static final int BACKLOG = 1024;
-    private static final long PAUSE_MS = 50;
     private static final int MOST_BUFFERED = 4 << 20;
     private static final int ALWAYS_BUFFERED = 4 << 10;
 
@@ -39,6 +38,7 @@
     /** Since when connections may have waited to be accepted that the last pass left behind. */
     private long leftSince = Long.MAX_VALUE;
     private int buffered;
+    private boolean away;
     private boolean draining;
 
     ClientServer(Engine engine, Clock clock, Pulse pulse, int mostConnections) {
@@ -52,6 +52,8 @@
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                // Lets the next version of the relay listen before this one has left.
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .handler(new Backlog()).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -64,7 +66,7 @@
     }
 
     /** Guards against connections that wait for several passes, as one accepts only so many. */
-    private final class Backlog extends ChannelInboundHandlerAdapter {
+    private final class Backlog extends AcceptGuard {
         private int accepted;
         private long since;
 
@@ -83,16 +85,10 @@
             ctx.fireChannelReadComplete();
         }
 
-        /**
-         * Guards against a lack of descriptors or memory, which is over soon, that would end the event loop: Netty
-         * logs what nobody takes, and logging opens files. Those that connect meanwhile wait a little longer.
-         */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            Log.line("can't accept: " + cause);
             leftSince = since;
-            ctx.channel().config().setAutoRead(false);
-            ctx.executor().schedule(() -> ctx.channel().config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
+            super.exceptionCaught(ctx, cause);
         }
     }
 
@@ -106,6 +102,22 @@
         return pulse.unreadSince();
     }
 
+    /** Says from now on that clients had better go elsewhere; those that come are served as before. */
+    void sendAway() {
+        away = true;
+    }
+
+    /** Takes clients again, whatever was said before. */
+    void welcome() {
+        away = false;
+        draining = false;
+    }
+
+    /** True while this relay takes clients, so far as it is up to the operators. */
+    boolean isWelcoming() {
+        return !away && !draining;
+    }
+
     /** Closes connections as they fall idle; whatever a client has begun to send is still answered. */
     void drain() {
         draining = true;
--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -17,15 +17,15 @@
 
 /**
  * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
- * {@code known} empty where no earlier list is known.
+ * {@code known} empty where no earlier list is known; {@code admin} is null where operators have no address.
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
+record Config(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
         Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
         List<Target> known) {
 
     private static final long MIB = 1 << 20;
-    /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
-    private static final int OTHER_DESCRIPTORS = 36;
+    /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, operators', and one just accepted. */
+    private static final int OTHER_DESCRIPTORS = 36 + AdminServer.MOST_CALLERS;
     private static final double CLIENT_SHARE = 0.55;
 
     /** A setting that is missing or makes no sense; the message is for staff. */
@@ -43,7 +43,7 @@
         Path state = Path.of(variable(environment, "EDGE_STATE"));
         try (JsonParser parser = new JsonFactory().createParser(Files.readString(file))) {
             parser.nextToken();
-            return of(Fields.ofObject("config", Fields.read(parser)), state);
+            return of(Fields.ofObject("config", Fields.read(parser)), state, environment.get("EDGE_ADMIN_ADDR"));
         } catch (IOException e) {
             throw new BadConfigException("EDGE_CONFIG: can't be read: " + e.getMessage());
         } catch (WireException | IllegalArgumentException e) {
@@ -51,7 +51,7 @@
         }
     }
 
-    private static Config of(Fields json, Path state) {
+    private static Config of(Fields json, Path state, String ownAdmin) {
         Fields params = json.object("settings");
         Fields limits = json.object("limits");
         Policy.Settings settings = WireCodec.settings(Long.parseUnsignedLong(json.text("seed"), 16), params);
@@ -63,8 +63,10 @@
             known = Target.readAll(list);
         }
         String how = params.value("stats") == null ? null : params.object("stats").textOrNull("how");
-        return new Config(address(json.text("listen")), address(json.text("discovery")), state,
-                sockets(limits),
+        // Guards against two versions that run at once from one file: each has the address of its environment.
+        String admin = ownAdmin == null || ownAdmin.isEmpty() ? json.textOrNull("admin_addr") : ownAdmin;
+        return new Config(address(json.text("listen")), admin == null ? null : address(admin),
+                address(json.text("discovery")), state, sockets(limits),
                 (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
                 params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known);
     }
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -43,6 +43,7 @@
     private final Map<String, Message> byCallId = new HashMap<>();
     private final Map<String, List<HostClient.Outgoing>> outgoing = new LinkedHashMap<>();
     private final Counters counters = new Counters();
+    private final Stats stats = new Stats();
     private List<Event> events = new ArrayList<>();
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
@@ -62,6 +63,7 @@
         hosts = new HostClient(loop, clock, config, this);
         notices = new Notices(loop, config.discovery(), this::noticeHeard);
         config.settings().classes().forEach(type -> classes.put(type.name(), type));
+        stats.know(classes.keySet());
         config.settings().tenants().forEach(tenant -> tenants.add(tenant.name()));
         nextNumber = journal.nextNumber();
     }
@@ -94,6 +96,11 @@
         }
     }
 
+    /** The figures that operators ask for. */
+    String stats() {
+        return stats.json(held, hosts.listed(), policy.unavailable(clock.micros()));
+    }
+
     /** Notices go to another address from now on, also those that have no answer yet. */
     void noticesTo(InetSocketAddress address) {
         notices.moveTo(address);
@@ -163,6 +170,7 @@
                 : held >= config.settings().limits().maxOpen() ? "full" : !journal.accept(message) ? "no disk" : null;
         if (obstacle != null) {
             counters.count("turned away: " + obstacle);
+            stats.rejected(content.requestClass());
             client.refused(COME_BACK);
             return null;
         }
@@ -280,6 +288,11 @@
             journal.result(attempt);
             end(message.number, new Message.End(false, 0));
         } else if (over && message.end == null && !message.over) {
+            if (result == Result.OK) {
+                stats.completed(message.content.requestClass());
+            } else {
+                stats.failed(message.content.requestClass());
+            }
             close(message);
         } else if (!message.over) {
             journal.result(attempt);
@@ -290,6 +303,11 @@
         forgetIfSettled(message);
     }
 
+    @Override
+    public void written(int messages) {
+        stats.written(messages);
+    }
+
     @Override
     public void probed(String route, Result result, long wait, long elapsed, LimitReport report) {
         add(new Policy.ProbeDone(route, result, wait, elapsed, report));
@@ -318,7 +336,13 @@
             return;
         }
         message.end = end;
-        counters.count(end.refused() ? "refused" : "failed");
+        if (end.refused()) {
+            counters.count("refused");
+            stats.rejected(message.content.requestClass());
+        } else {
+            counters.count("failed");
+            stats.failed(message.content.requestClass());
+        }
         if (message.client == null) {
             message.endWatch.cancel(false);
             held--;
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -51,6 +51,8 @@
     /** Attempts that nothing is known of yet. */
     private final Map<Message.Attempt, Part> parts = new LinkedHashMap<>();
     private final boolean several;
+    /** How many messages the request holds. */
+    private int messages;
     private final Future<?> probeTimeout;
     private HostConnection connection;
     private boolean sent;
@@ -118,6 +120,7 @@
 
     void sent() {
         sent = true;
+        client.written(messages);
     }
 
     FullHttpRequest request() {
@@ -125,6 +128,7 @@
             return request(HttpMethod.GET, probePath, new byte[0]);
         }
         FullHttpRequest request;
+        messages = several ? parts.size() : 1;
         if (several) {
             request = request(HttpMethod.POST, "/receive-many", manyBody());
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -41,6 +41,9 @@
         void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
 
         void probed(String route, Result result, long wait, long elapsed, LimitReport report);
+
+        /** A call with so many messages has left whole. */
+        void written(int messages);
     }
 
     /** An attempt to send and how long its answer is waited for. */
@@ -377,6 +380,15 @@
         results.probed(call.host().route(), result, wait, clock.micros() - call.startedAt(), report);
     }
 
+    void written(int messages) {
+        results.written(messages);
+    }
+
+    /** How many endpoints are in the list, those that drain too. */
+    int listed() {
+        return hosts.size();
+    }
+
     /** How the connections stand, for staff. */
     String figures() {
         int queued = hosts.values().stream().mapToInt(host -> host.queue.size()).sum();
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -1,15 +1,16 @@
 package pipitstage.relay;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import pipitstage.Logic;
 
 /** The relay as a whole: puts its parts together, starts them and ends them. */
-final class Relay {
+final class Relay implements AdminServer.Controls {
     // After the signal to end; the kill comes no sooner than 3.7 s after it.
-    private static final long SERVE_ON_MS = 500; // new connections still come
+    private static final long SERVE_ON_MS = 500; // new connections still come, also when operators empty the relay
     private static final long BEGIN_NOTHING_MS = 2200; // calls take about a second
     private static final long GIVE_UP_MS = 3200; // what is still open is left to the journal
     private static final long LOOK_MS = 20;
@@ -22,6 +23,8 @@
     private final Discovery discovery;
     private final ClientServer clients;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private Future<?> draining;
+    private boolean listening;
     private long stopAt;
 
     Relay(EventLoop loop, Config config) throws IOException {
@@ -43,7 +46,13 @@
                 engine.start();
                 discovery.start();
             }).sync();
+            // Answers operators before clients come: they ask whether clients may.
+            if (config.admin() != null) {
+                Log.line("operators at " + new AdminServer(this).listen(loop, config.admin()).sync().channel()
+                        .localAddress());
+            }
             Log.line("serving on " + clients.listen(loop, config.listen()).sync().channel().localAddress());
+            loop.execute(() -> listening = true);
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
@@ -58,11 +67,42 @@
         });
     }
 
+    @Override
+    public boolean takesClients() {
+        return listening && engine.isReady() && clients.isWelcoming();
+    }
+
+    @Override
+    public String stats() {
+        return engine.stats();
+    }
+
+    @Override
+    public void empty() {
+        if (draining == null) {
+            clients.sendAway();
+            draining = loop.schedule(clients::drain, SERVE_ON_MS, TimeUnit.MILLISECONDS);
+            Log.line("clients are sent away");
+        }
+    }
+
+    @Override
+    public void refill() {
+        if (draining != null && stopAt == 0) {
+            draining.cancel(false);
+            draining = null;
+            clients.welcome();
+            Log.line("clients are taken again");
+        }
+    }
+
     /** Ends service without breaking a promise; returns when the process may end. */
     void stop() {
-        stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
+        loop.execute(() -> {
+            stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
+            empty();
+        });
         loop.schedule(engine::freeze, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(clients::drain, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
             stopped.await();
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -17,6 +17,7 @@
 /** The real program, started as a process of its own with stub peers round it. */
 final class RelayProcess implements AutoCloseable {
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final Pattern OPERATORS = Pattern.compile("operators at \\S*?([0-9.]+):(\\d+)");
     private static final int PATIENCE_S = 30;
 
     /** An answer of the relay: its status, or 0 where the connection ended without one. */
@@ -137,6 +138,7 @@
                 "serve").redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("EDGE_CONFIG", config().toString());
         builder.environment().put("EDGE_STATE", state().toString());
+        builder.environment().put("EDGE_ADMIN_ADDR", "127.0.0.1:0");
         process = builder.start();
         await(() -> SERVING.matcher(log()).find());
         return this;
@@ -188,7 +190,16 @@
     }
 
     Socket connect() throws IOException {
-        Matcher at = SERVING.matcher(log());
+        return connect(SERVING);
+    }
+
+    /** A connection to the operators' door. */
+    Socket connectOperator() throws IOException {
+        return connect(OPERATORS);
+    }
+
+    private Socket connect(Pattern line) throws IOException {
+        Matcher at = line.matcher(log());
         if (!at.find()) {
             throw new IOException("the relay does not serve: " + log());
         }
@@ -219,6 +230,23 @@
         }
     }
 
+    /** What an operator's call is answered with. */
+    int operator(String method, String path) throws IOException {
+        try (Socket socket = connectOperator()) {
+            return exchange(socket, method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").status();
+        }
+    }
+
+    /** The figures that operators see. */
+    String stats() {
+        try (Socket socket = connectOperator()) {
+            exchange(socket, "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     static Answer exchange(Socket socket, String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         StringBuilder head = new StringBuilder();
