--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -89,6 +89,8 @@
     private long now;
     private Actions actions;
     private int held;
+    /** Calls out at another process of this relay that this one takes over from; they hold slots. */
+    private int elsewhere;
     private long wakeAt = Long.MAX_VALUE;
     private boolean asked;
 
@@ -115,7 +117,7 @@
         }
     }
 
-    /** What drains, has an open circuit or told to wait is avoided; being within pace or short of slots is not. */
+    /** What drains, has an open circuit or told to wait; not what only waits for its pace or a slot. */
     @Override
     public int unavailable(long now) {
         return (int) routes.values().stream().filter(route -> route.inList)
@@ -144,12 +146,55 @@
             list(e);
         } else if (event instanceof ProbeDone e) {
             probed(e);
+        } else if (event instanceof Inherited e) {
+            Memory.unpack(e.memory(), destinations, groups, routes);
+            elsewhere = e.callsOut();
+        } else if (event instanceof EndedElsewhere e) {
+            endedElsewhere(e);
+        } else if (event instanceof AloneAgain) {
+            elsewhere = 0;
+            routes.values().forEach(this::forgetTestElsewhere);
         } else if (event instanceof PeerNote e && e.bytes().length == Integer.BYTES + 1) {
             ByteBuffer note = ByteBuffer.wrap(e.bytes());
             hear(e.from(), Word.of(note.get()), note.getInt());
         }
     }
 
+    @Override
+    public byte[] memory() {
+        return Memory.pack(destinations, groups, routes);
+    }
+
+    /** Waits told and failures there bind here as well; it is one relay to its endpoints. */
+    private void endedElsewhere(EndedElsewhere e) {
+        elsewhere = e.callsOut();
+        Route route = routes.get(e.route());
+        if (route != null) {
+            heed(route.group, e.toldWait());
+            boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(route);
+            Call call = new Call(route, now - e.elapsed(), isTestElsewhere(route));
+            judge(call, early ? Result.NOT_SENT : e.result(), e.toldWait(), e.elapsed(), LimitReport.NONE);
+        }
+    }
+
+    private boolean isTestElsewhere(Route route) {
+        return (route.circuit.testing || route.group.circuit.testing)
+                && out.stream().noneMatch(call -> call.test && call.route.group == route.group);
+    }
+
+    /** Guards against a circuit that stays half-open for a test that its process took with it. */
+    private void forgetTestElsewhere(Route route) {
+        if (isTestElsewhere(route)) {
+            route.circuit.testing = false;
+            route.group.circuit.testing = false;
+        }
+    }
+
+    /** How many calls this process may have out. */
+    private int slots() {
+        return settings.limits().callSlots() - elsewhere;
+    }
+
     private void accept(Accepted e) {
         add(e);
         if (held >= settings.limits().maxOpen()) {
@@ -610,7 +655,7 @@
     }
 
     private boolean slotsScarce() {
-        return out.size() > settings.limits().callSlots() * SCARCE_FROM;
+        return out.size() > slots() * SCARCE_FROM;
     }
 
     /** Guards against one destination, above all a slow one, that holds every slot. */
@@ -702,7 +747,7 @@
             test(destination);
             addCandidate(destination, candidates);
         }
-        while (!candidates.isEmpty() && out.size() < settings.limits().callSlots()) {
+        while (!candidates.isEmpty() && out.size() < slots()) {
             Candidate next = candidates.poll();
             call(next.request, next.route, false);
             addCandidate(next.request.destination, candidates);
@@ -895,7 +940,7 @@
             boolean better = whole && route.group.routes.stream()
                     .anyMatch(other -> other.listed && other.circuit.run < route.circuit.run);
             if (route.listed && !better && testable(circuit) && now >= route.group.waitUntil
-                    && out.size() < settings.limits().callSlots()) {
+                    && out.size() < slots()) {
                 sendTest(destination, route, circuit);
             }
         }
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -13,6 +13,11 @@
     /** Takes in every event of one round, in order of arrival, and then acts once. */
     void onRound(long now, List<Event> events, Actions actions);
 
+    /** What the module has learned of its routes, for another process that goes on in its place. */
+    default byte[] memory() {
+        return new byte[0];
+    }
+
     /** How many routes in the list are avoided now; a module that avoids none need not say so. */
     default int unavailable(long now) {
         return 0;
@@ -134,6 +139,19 @@
     record ProbeDone(String route, Result result, long toldWait, long elapsed, LimitReport report)
             implements Event { }
 
+    /**
+     * This process goes on in place of another one of the same relay, which has told its {@link Policy#memory} and
+     * ends the calls that it has out; they hold slots until then.
+     */
+    record Inherited(byte[] memory, int callsOut) implements Event { }
+
+    /** A call ended that the other process had out, for a message that may come here as resumed. */
+    record EndedElsewhere(String route, Result result, long toldWait, long elapsed, int callsOut)
+            implements Event { }
+
+    /** The other process has ended, and with it the calls that it had out. */
+    record AloneAgain() implements Event { }
+
     /** A note came from another relay. */
     record PeerNote(int from, byte[] bytes) implements Event { }
 
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -30,7 +30,7 @@
 
     /** A count of events that fades with time. */
     static final class Rate {
-        final long since;
+        long since;
         double count;
         long at;
 
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
 final class ClientServer {
@@ -29,7 +30,8 @@
     private final Engine engine;
     private final Clock clock;
     private final Pulse pulse;
-    private final int mostConnections;
+    private final int mostEver;
+    private int mostConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
     /** Connections that have sent nothing yet, and those that are idle since their last answer, oldest first. */
     private final Set<ClientConnection> silent = new LinkedHashSet<>();
@@ -45,6 +47,7 @@
         this.engine = engine;
         this.clock = clock;
         this.pulse = pulse;
+        mostEver = mostConnections;
         this.mostConnections = mostConnections;
     }
 
@@ -139,8 +142,25 @@
         return connections.stream().anyMatch(ClientConnection::isAnswering);
     }
 
+    /**
+     * Stops listening once all that has come is accepted: what still waited would be reset. A pass accepts before it
+     * runs its tasks, so that nothing is left behind where the last pass had reached the end.
+     */
     void stopListening() {
-        listener.close();
+        if (leftSince == Long.MAX_VALUE) {
+            listener.close();
+        } else {
+            listener.eventLoop().schedule(this::stopListening, 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** So many descriptors are another process's for now; 0 where none are. */
+    void yield(int descriptors) {
+        mostConnections = Math.max(1, Math.max(mostEver / 4, mostEver - descriptors));
+    }
+
+    int connections() {
+        return connections.size();
     }
 
     /** Guards against clients that take every descriptor: the ones that have stood longest go first. */
--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -19,12 +19,13 @@
  * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
  * {@code known} empty where no earlier list is known; {@code admin} is null where operators have no address.
  */
-record Config(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
+record Config(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, Path state,
+        int sockets, long diskBytes,
         Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
         List<Target> known) {
 
     private static final long MIB = 1 << 20;
-    /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, operators', and one just accepted. */
+    /** Descriptors for all but connections: the JVM's, journal's, discovery's, operators', one just accepted. */
     private static final int OTHER_DESCRIPTORS = 36 + AdminServer.MOST_CALLERS;
     private static final double CLIENT_SHARE = 0.55;
 
@@ -79,6 +80,11 @@
         return (int) Math.min(sockets, Integer.MAX_VALUE);
     }
 
+    /** How many descriptors another process takes, with so many connections and all that it has besides. */
+    static int descriptors(int connections) {
+        return connections + OTHER_DESCRIPTORS;
+    }
+
     /** How many connections clients may hold. */
     int clientConnections() {
         return (int) Math.ceil(CLIENT_SHARE * (sockets - OTHER_DESCRIPTORS));
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -1,6 +1,7 @@
 package pipitstage.relay;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,7 +22,7 @@
  * Drives the decision module: gathers what has come in into rounds and carries out what the module answers.
  * It owns the table of messages and takes no decision of its own. Everything runs on one event loop.
  */
-final class Engine implements Policy.Actions, HostClient.Results, Discovery.Listener {
+final class Engine implements Policy.Actions, HostClient.Results, Discovery.Listener, PredecessorLink.Heir {
     /** When a message that the module has left open past its deadline is ended: in time for its notice. */
     private static final long LATEST_END = 200_000;
     private static final long COME_BACK = 1_000_000;
@@ -51,6 +52,8 @@
     private int attemptsOut;
     private boolean roundDue;
     private boolean frozen;
+    private SuccessorLink successor;
+    private long listVersion = -1;
     private boolean ready;
     private boolean listTold;
 
@@ -74,16 +77,116 @@
         if (!config.known().isEmpty()) {
             list(Policy.ListKind.CACHED, config.knownVersion(), config.known());
         }
-        for (Message message : journal.open()) {
-            remember(message);
-            if (message.end != null) {
-                notices.send(message);
-            } else {
-                held++;
-                watchEnd(message);
-                add(new Policy.Resumed(acceptance(message), message.attempts.stream()
-                        .map(a -> new Policy.PastAttempt(a.route, a.sentAt, a.result)).toList()));
-            }
+        journal.open().forEach(this::resume);
+    }
+
+    /** Goes on with a message that another process took on. */
+    private void resume(Message message) {
+        remember(message);
+        if (message.end != null) {
+            notices.send(message);
+        } else {
+            held++;
+            watchEnd(message);
+            decideOn(message);
+        }
+    }
+
+    private void decideOn(Message message) {
+        add(new Policy.Resumed(acceptance(message), message.attempts.stream()
+                .map(a -> new Policy.PastAttempt(a.route, a.sentAt, a.result)).toList()));
+    }
+
+    /** Takes up what a process that has ended left open, in a part that this one owns now. */
+    @Override
+    public void adopt(StateFolder.Part part) throws IOException {
+        List<Message> left = Journal.leftIn(part.folder(), config.diskBytes());
+        journal.alone();
+        // Guards against what was passed on already when the process ended, before it could note that.
+        left.stream().filter(message -> !byCallId.containsKey(message.content.callId()))
+                .forEach(message -> resume(record(message)));
+        Journal.clear(part.folder());
+        if (!left.isEmpty()) {
+            Log.line("adopted " + left.size() + " messages that another process left");
+        }
+        add(new Policy.AloneAgain());
+    }
+
+    private Message record(Message message) {
+        Message own = message.renumbered(nextNumber++);
+        if (!journal.adopt(own)) {
+            Log.line("no room to record message " + message.content.callId() + " of another process");
+        }
+        return own;
+    }
+
+    @Override
+    public Message keep(byte[] records) throws IOException {
+        Message message = record(Journal.unpack(records));
+        // A client that sends it once more since its connection closed is answered from here.
+        remember(message);
+        return message;
+    }
+
+    @Override
+    public void run(Message message) {
+        resume(message);
+    }
+
+    @Override
+    public void inherit(Standing standing) {
+        journal.share(false);
+        if (!listTold && !standing.targets().isEmpty()) {
+            list(Policy.ListKind.CACHED, standing.version(), standing.targets());
+        }
+        add(new Policy.Inherited(standing.memory(), standing.callsOut()));
+    }
+
+    @Override
+    public void endedElsewhere(String route, Result result, long wait, long elapsed, int callsOut) {
+        if (wait > 0) {
+            hosts.toldToWait(route, wait);
+        }
+        add(new Policy.EndedElsewhere(route, result, wait, elapsed, callsOut));
+    }
+
+    void yield(int descriptors) {
+        hosts.yield(descriptors);
+    }
+
+    /** Takes the last decisions and tells where all stands; what happens from now on waits for the next ones. */
+    Standing stopDeciding(int clients) {
+        round();
+        frozen = true;
+        return new Standing(listVersion, hosts.targets(), policy.memory(), hosts.callsOut(),
+                clients + hosts.connections());
+    }
+
+    /** Takes decisions again, on what has happened meanwhile first. */
+    void decideAgain() {
+        frozen = false;
+        add(new Policy.TimerFired(0));
+    }
+
+    /** Leaves every further decision to another process, which gets each message as soon as it is at rest. */
+    void passOn(SuccessorLink link) {
+        successor = link;
+        journal.share(true);
+        hosts.retire();
+        List.copyOf(messages.values()).forEach(this::offer);
+    }
+
+    private void offer(Message message) {
+        boolean atRest = message.client == null && message.end == null && !message.over && !message.hasAttemptsOut();
+        if (successor != null && atRest) {
+            successor.offer(message);
+        }
+    }
+
+    /** Another process owns a message now. */
+    void passedOn(Message message) {
+        if (message.end == null && !message.over) {
+            close(message);
         }
     }
 
@@ -227,12 +330,12 @@
     private void round() {
         roundDue = false;
         long now = clock.micros();
-        List<Event> came = events;
-        events = new ArrayList<>();
         List<Message> arrived = arrivals;
         arrivals = new ArrayList<>();
         try {
             if (!frozen) {
+                List<Event> came = events;
+                events = new ArrayList<>();
                 policy.onRound(now, came, this);
             }
         } catch (RuntimeException e) {
@@ -245,6 +348,7 @@
                 message.client = null;
                 client.taken();
             }
+            offer(message);
         }
         sendAll();
     }
@@ -298,8 +402,14 @@
             journal.result(attempt);
         }
         boolean closed = message.over || message.end != null;
-        add(new Policy.Outcome(message.number, attempt.number, attempt.route, result, closed, wait,
-                clock.micros() - attempt.sentAt, report));
+        long elapsed = clock.micros() - attempt.sentAt;
+        if (successor == null) {
+            add(new Policy.Outcome(message.number, attempt.number, attempt.route, result, closed, wait, elapsed,
+                    report));
+        } else {
+            successor.outcome(attempt.route, result, wait, elapsed, hosts.callsOut());
+            offer(message);
+        }
         forgetIfSettled(message);
     }
 
@@ -371,6 +481,7 @@
         targets.forEach(target -> destinations.add(target.listed().destination()));
         hosts.list(kind, targets);
         ready = true;
+        listVersion = version;
         listTold |= kind != Policy.ListKind.CACHED;
         add(new Policy.RouteList(kind, version, targets.stream().map(Target::listed).toList()));
     }
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -106,7 +106,9 @@
     /** How long one was found worth keeping, and when. */
     private long kept;
     private long keptAt;
-    private final int mostConnections;
+    private final int mostEver;
+    private int mostConnections;
+    private boolean retiring;
     private final Map<String, Policy.Kind> kinds = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<Integer, Wait> waits = new HashMap<>();
@@ -126,7 +128,8 @@
         idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
         kept = idleSpan;
         keptAt = clock.micros();
-        mostConnections = config.hostConnections();
+        mostEver = config.hostConnections();
+        mostConnections = mostEver;
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
         long connectTimeout = config.settings().limits().connectTimeout();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -309,7 +312,7 @@
             HostCall call = host.queue.iterator().next();
             host.queue.remove(call);
             begin(connection, call);
-        } else if (hosts.get(host.route()) != host || !host.isListed() || !crowdedOut.isEmpty()) {
+        } else if (retiring || hosts.get(host.route()) != host || !host.isListed() || !crowdedOut.isEmpty()) {
             connection.close();
         } else {
             host.idle.addLast(connection);
@@ -384,6 +387,38 @@
         results.written(messages);
     }
 
+    /** Keeps no connection from now on: another process of this relay has its own. */
+    void retire() {
+        retiring = true;
+        List.copyOf(idle).forEach(HostConnection::close);
+    }
+
+    /** So many descriptors are another process's for now; 0 where none are. */
+    void yield(int descriptors) {
+        mostConnections = Math.max(1, Math.max(mostEver / 4, mostEver - descriptors));
+    }
+
+    /** A wait that another process of this relay was told. */
+    void toldToWait(String route, long span) {
+        Host host = hosts.get(route);
+        if (host != null) {
+            toldToWait(host, span);
+        }
+    }
+
+    List<Target> targets() {
+        return hosts.values().stream().map(host -> host.target).toList();
+    }
+
+    /** How many calls are out; several messages may share one. */
+    int callsOut() {
+        return (int) calls.values().stream().distinct().count();
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
     /** How many endpoints are in the list, those that drain too. */
     int listed() {
         return hosts.size();
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -59,7 +59,10 @@
     }
 
     private final Path folder;
-    private final long disk;
+    private final long wholeDisk;
+    /** What of it this process may plan with: another may have a part of its own meanwhile. */
+    private long disk;
+    private boolean rewrites = true;
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private FileChannel segment;
     private Path path;
@@ -74,13 +77,10 @@
     Journal(Path folder, long disk) throws IOException {
         this.folder = folder;
         this.disk = disk;
+        wholeDisk = disk;
         Files.createDirectories(folder);
         Files.deleteIfExists(folder.resolve(UNFINISHED));
-        List<Path> segments;
-        try (var files = Files.list(folder)) {
-            segments = files.filter(f -> f.getFileName().toString().matches("journal-\\d{10}\\.log")).sorted()
-                    .toList();
-        }
+        List<Path> segments = segments(folder);
         path = folder.resolve(SEGMENT.formatted(0));
         if (!segments.isEmpty()) {
             // Guards against a kill between a rewrite and the removal of what it replaces: the newest is whole.
@@ -95,6 +95,81 @@
         replay();
     }
 
+    /** Reads records; it has no file. */
+    private Journal() {
+        folder = null;
+        wholeDisk = 0;
+    }
+
+    /** All records of a message, as another process takes them in. */
+    static byte[] pack(Message message) {
+        try {
+            return recordsOf(message);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The message that another process has packed. */
+    static Message unpack(byte[] records) throws IOException {
+        Journal reader = new Journal();
+        ByteBuffer all = ByteBuffer.wrap(records);
+        for (byte[] payload = next(all); payload != null; payload = next(all)) {
+            if (!reader.replay(payload)) {
+                break;
+            }
+        }
+        if (all.hasRemaining() || reader.open.size() != 1) {
+            throw new IOException("these are not the records of a message");
+        }
+        return reader.open().get(0);
+    }
+
+    /** The messages that are not done in a folder whose owner has gone. */
+    static List<Message> leftIn(Path folder, long disk) throws IOException {
+        try (Journal left = new Journal(folder, disk)) {
+            return left.open();
+        }
+    }
+
+    /** Removes what was left in a folder, once it is adopted. */
+    static void clear(Path folder) throws IOException {
+        for (Path segment : segments(folder)) {
+            Files.delete(segment);
+        }
+    }
+
+    private static List<Path> segments(Path folder) throws IOException {
+        try (var files = Files.list(folder)) {
+            return files.filter(f -> f.getFileName().toString().matches("journal-\\d{10}\\.log")).sorted().toList();
+        }
+    }
+
+    /**
+     * Guards against a disk that two processes fill together: until this one is alone again it plans with half, and
+     * one that is about to leave needs no room for a rewrite.
+     */
+    void share(boolean leaving) {
+        disk = leaving ? disk : wholeDisk / 2;
+        rewrites = !leaving;
+    }
+
+    /** The whole disk is this process's own again. */
+    void alone() {
+        disk = wholeDisk;
+        rewrites = true;
+    }
+
+    /** Records a message that another process has let go of, with all that is known of it. */
+    boolean adopt(Message message) {
+        byte[] records = pack(message);
+        if (!append(records, LARGEST_WITH_ENDS)) {
+            return false;
+        }
+        add(message, records.length);
+        return true;
+    }
+
     long nextNumber() {
         return lastNumber + 1;
     }
@@ -139,7 +214,7 @@
         forget(message.number);
         // Guards against a full disk that would bring a finished message back: a rewrite leaves it out.
         boolean wanted = known && !noted || size - openBytes > LARGEST_FINISHED * disk;
-        if (wanted && System.nanoTime() - nextRewrite >= 0) {
+        if (wanted && rewrites && System.nanoTime() - nextRewrite >= 0) {
             rewrite();
         }
     }
--- a/src/main/java/pipitstage/relay/Message.java
+++ b/src/main/java/pipitstage/relay/Message.java
@@ -48,6 +48,14 @@
         this.content = content;
     }
 
+    /** The same message under a number of another journal. */
+    Message renumbered(long next) {
+        Message copy = new Message(next, content);
+        attempts.forEach(attempt -> copy.addAttempt(attempt.route, attempt.sentAt).result = attempt.result);
+        copy.end = end;
+        return copy;
+    }
+
     Attempt addAttempt(String route, long sentAt) {
         Attempt attempt = new Attempt(this, attempts.size(), route, sentAt);
         attempts.add(attempt);
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -1,14 +1,19 @@
 package pipitstage.relay;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import pipitstage.Logic;
 
 /** The relay as a whole: puts its parts together, starts them and ends them. */
-final class Relay implements AdminServer.Controls {
+final class Relay implements AdminServer.Controls, SuccessorLink.Elder {
     // After the signal to end; the kill comes no sooner than 3.7 s after it.
     private static final long SERVE_ON_MS = 500; // new connections still come, also when operators empty the relay
     private static final long BEGIN_NOTHING_MS = 2200; // calls take about a second
@@ -17,11 +22,16 @@
 
     private final EventLoop loop;
     private final Config config;
+    private final StateFolder state;
     private final Journal journal;
     private final Engine engine;
     private final Pulse pulse;
     private final Discovery discovery;
     private final ClientServer clients;
+    private final SuccessorLink successor;
+    private final List<PredecessorLink> predecessors = new ArrayList<>();
+    private final Promise<Void> serving;
+    private int predecessorsLeft;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private Future<?> draining;
     private boolean listening;
@@ -31,11 +41,14 @@
         this.loop = loop;
         this.config = config;
         Clock clock = new Clock();
-        journal = new Journal(config.state(), config.diskBytes());
+        state = new StateFolder(config.state());
+        journal = new Journal(state.own(), config.diskBytes());
         engine = new Engine(loop, clock, config, journal, Logic::new);
         discovery = new Discovery(loop, config.discovery(), engine);
         pulse = new Pulse(loop, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
+        successor = new SuccessorLink(loop, this);
+        serving = loop.newPromise();
     }
 
     /** Resumes what the journal holds and serves. */
@@ -45,19 +58,109 @@
                 pulse.start();
                 engine.start();
                 discovery.start();
+                successor.listen(state.own());
             }).sync();
             // Answers operators before clients come: they ask whether clients may.
             if (config.admin() != null) {
                 Log.line("operators at " + new AdminServer(this).listen(loop, config.admin()).sync().channel()
                         .localAddress());
             }
-            Log.line("serving on " + clients.listen(loop, config.listen()).sync().channel().localAddress());
-            loop.execute(() -> listening = true);
+            loop.execute(this::takeOver);
+            serving.sync();
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
     }
 
+    /** Serves at once where this is the only process, else as soon as each other one has told where it stands. */
+    private void takeOver() {
+        for (Path part : state.others()) {
+            try (StateFolder.Part left = StateFolder.tryTake(part)) {
+                if (left != null) {
+                    engine.adopt(left);
+                } else {
+                    predecessors.add(new PredecessorLink(loop, part, engine, this::told, this::alone));
+                }
+            } catch (IOException e) {
+                Log.line("what is left in " + part.getFileName() + " can't be adopted: " + e.getMessage());
+            }
+        }
+        predecessorsLeft = predecessors.size();
+        if (predecessorsLeft == 0) {
+            listen();
+        }
+        predecessors.forEach(PredecessorLink::takeOver);
+    }
+
+    /** Until the other process has ended, its descriptors and this one's have one bound together. */
+    private void told(Standing standing) {
+        if (standing != null) {
+            int taken = Config.descriptors(standing.connections());
+            clients.yield(taken / 2);
+            engine.yield(taken - taken / 2);
+        }
+        if (--predecessorsLeft == 0) {
+            listen();
+        }
+    }
+
+    private void alone() {
+        clients.yield(0);
+        engine.yield(0);
+    }
+
+    private void listen() {
+        ChannelFuture bound = clients.listen(loop, config.listen());
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                Log.line("serving on " + bound.channel().localAddress());
+                listening = true;
+                predecessors.forEach(PredecessorLink::listening);
+                serving.setSuccess(null);
+            } else {
+                serving.setFailure(done.cause());
+            }
+        });
+    }
+
+    @Override
+    public Standing stopDeciding() {
+        Log.line("another process takes over");
+        return engine.stopDeciding(clients.connections());
+    }
+
+    @Override
+    public void decideAgain() {
+        Log.line("the other process is gone, this one serves on");
+        engine.decideAgain();
+    }
+
+    @Override
+    public void passOn() {
+        clients.sendAway();
+        clients.stopListening();
+        clients.drain();
+        engine.passOn(successor);
+        leaveWhenDone();
+    }
+
+    @Override
+    public void passedOn(Message message) {
+        engine.passedOn(message);
+    }
+
+    /** Leaves once nothing is owed here any more: the other process goes by all bounds again only then. */
+    private void leaveWhenDone() {
+        if (clients.isIdle() && engine.isIdle()) {
+            Log.line("all is passed on");
+            stopped.countDown();
+            // Guards against an exit that waits for the loop while the loop waits for the exit.
+            new Thread(() -> System.exit(0), "leave").start();
+        } else {
+            loop.schedule(this::leaveWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Takes over the address of discovery; everything else is read at the start alone. */
     void reload(Config next) {
         loop.execute(() -> {
@@ -88,7 +191,7 @@
 
     @Override
     public void refill() {
-        if (draining != null && stopAt == 0) {
+        if (draining != null && stopAt == 0 && !successor.isCommitted()) {
             draining.cancel(false);
             draining = null;
             clients.welcome();
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -32,6 +32,8 @@
     private Process process;
     private Path log;
     private int starts;
+    private String listen = "127.0.0.1:0";
+    private String name = "log";
 
     RelayProcess(Path folder, StubPeer discovery) {
         this.folder = folder;
@@ -60,6 +62,19 @@
         return this;
     }
 
+    /** Another process of the same relay, not started yet, as the platform starts it beside this one. */
+    RelayProcess beside() {
+        Matcher at = SERVING.matcher(log());
+        if (!at.find()) {
+            throw new IllegalStateException("the relay does not serve: " + log());
+        }
+        RelayProcess next = new RelayProcess(folder, discovery);
+        next.targets.addAll(targets);
+        next.listen = at.group(1) + ":" + at.group(2);
+        next.name = name + "-next";
+        return next;
+    }
+
     RelayProcess disk(double mb) {
         diskMb = mb;
         return this;
@@ -91,7 +106,7 @@
     }
 
     private void configure() throws IOException {
-        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMb + "},\"known\":"
                 + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}");
@@ -131,7 +146,7 @@
 
     RelayProcess start() throws IOException {
         configure();
-        log = folder.resolve("log" + starts++);
+        log = folder.resolve(name + starts++);
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + " && exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
@@ -261,14 +276,17 @@
 
     /** What the running relay's journal holds open, read from a copy. */
     List<Message> journaled() {
-        try (var files = Files.list(state())) {
+        return journaled(state());
+    }
+
+    /** What lies open in one part of the folder. */
+    List<Message> journaled(Path part) {
+        try (var files = Files.list(part)) {
             Path copy = Files.createDirectories(folder.resolve("copy"));
-            for (Path file : files.toList()) {
+            for (Path file : files.filter(f -> f.getFileName().toString().startsWith("journal-")).toList()) {
                 Files.copy(file, copy.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
             }
-            try (Journal journal = new Journal(copy, 3 << 20)) {
-                return journal.open();
-            }
+            return Journal.leftIn(copy, 3 << 20);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
