--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -78,6 +79,17 @@
         return ending;
     }
 
+    /** Closes in a while, unless a request comes first. */
+    void closeIn(long millis) {
+        startTimer(millis, () -> {
+            // Guards against a request that has come since this pass has read: its client would see a reset.
+            ((AbstractNioChannel) context.channel()).unsafe().read();
+            if (idle) {
+                close();
+            }
+        });
+    }
+
     void close() {
         context.close();
     }
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -7,15 +7,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
 final class ClientServer {
@@ -24,6 +23,8 @@
     static final String BUDGET = "X-Budget-Ms";
     static final String LOAD_REPORT = "X-Load-Report";
     private static final int BACKLOG = 1024;
+    /** How long it takes to close the connections that are idle when clients are to leave. */
+    private static final long CLOSING_MS = 1000;
     private static final int MOST_BUFFERED = 4 << 20;
     private static final int ALWAYS_BUFFERED = 4 << 10;
 
@@ -121,20 +122,30 @@
         return !away && !draining;
     }
 
-    /** Closes connections as they fall idle; whatever a client has begun to send is still answered. */
+    /**
+     * Closes connections as they fall idle, one after another; whatever a client has begun to send is still answered. One that has sent
+     * nothing yet has come just now and is about to.
+     */
     void drain() {
+        if (draining) {
+            return;
+        }
         draining = true;
-        List.copyOf(silent).forEach(ClientConnection::close);
-        List.copyOf(idle).forEach(ClientConnection::close);
+        // Guards against requests that cross the end of their connection: those that come get an answer that says so,
+        // and what rests longest, and is used least, closes first.
+        int place = 0;
+        for (ClientConnection connection : idle) {
+            connection.closeIn(CLOSING_MS * ++place / idle.size());
+        }
     }
 
     boolean isDraining() {
         return draining;
     }
 
-    /** True where every request that was begun has its answer. */
-    boolean isIdle() {
-        return connections.stream().allMatch(c -> silent.contains(c) || idle.contains(c) || c.isEnding());
+    /** True where no client has a connection on which an answer may yet come. */
+    boolean isDeserted() {
+        return connections.stream().allMatch(ClientConnection::isEnding);
     }
 
     /** True while a request that was read whole has no answer yet. */
@@ -142,15 +153,13 @@
         return connections.stream().anyMatch(ClientConnection::isAnswering);
     }
 
-    /**
-     * Stops listening once all that has come is accepted: what still waited would be reset. A pass accepts before it
-     * runs its tasks, so that nothing is left behind where the last pass had reached the end.
-     */
+    /** Stops listening once all that has come is accepted: what still waited would be reset. */
     void stopListening() {
+        ((AbstractNioChannel) listener).unsafe().read();
         if (leftSince == Long.MAX_VALUE) {
             listener.close();
         } else {
-            listener.eventLoop().schedule(this::stopListening, 1, TimeUnit.MILLISECONDS);
+            listener.eventLoop().execute(this::stopListening);
         }
     }
 
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -138,10 +138,13 @@
     @Override
     public void passOn() {
         clients.sendAway();
-        clients.stopListening();
-        clients.drain();
         engine.passOn(successor);
-        leaveWhenDone();
+        // After this pass has read what it found; nothing may be read while another read is under way.
+        loop.execute(() -> {
+            clients.stopListening();
+            clients.drain();
+            leaveWhenDone();
+        });
     }
 
     @Override
@@ -151,7 +154,7 @@
 
     /** Leaves once nothing is owed here any more: the other process goes by all bounds again only then. */
     private void leaveWhenDone() {
-        if (clients.isIdle() && engine.isIdle()) {
+        if (clients.isDeserted() && engine.isIdle()) {
             Log.line("all is passed on");
             stopped.countDown();
             // Guards against an exit that waits for the loop while the loop waits for the exit.
@@ -217,7 +220,7 @@
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
         boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
-        if (clients.isIdle() && done || late && !clients.isAnswering()) {
+        if (clients.isDeserted() && done || late && !clients.isAnswering()) {
             clients.stopListening();
             stopped.countDown();
         } else {
