Take new settings at SIGHUP whole or not at all

Ruled out: the door and emptying (4 calls, none late or wrong) and the counting itself, as the untrue figures were of the class that was not known and of the files that were not counted.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -70,7 +70,7 @@
     private static final long ASK = 2; // timer of the list
     private static final long ASK_AGAIN = 3_000_000; // far within the span of the rule
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
@@ -96,10 +96,18 @@
 
     /** A module that starts knowing only its settings. */
     public Logic(Settings settings) {
-        this.settings = settings;
         random = new SplittableRandom(settings.seed());
-        settings.classes().forEach(type -> classes.put(type.name(), type));
-        settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
+        tune(settings);
+    }
+
+    /** Takes settings whole; what requests were accepted under and what routes have shown stays. */
+    private void tune(Settings next) {
+        settings = next;
+        classes.clear();
+        next.classes().forEach(type -> classes.put(type.name(), type));
+        kinds.clear();
+        next.kinds().forEach(kind -> kinds.put(kind.name(), kind));
+        routes.values().forEach(route -> route.placeBonus = placeBonus(route.zone));
     }
 
     @Override
@@ -146,6 +154,8 @@
             list(e);
         } else if (event instanceof ProbeDone e) {
             probed(e);
+        } else if (event instanceof Retuned e) {
+            tune(e.settings());
         } else if (event instanceof Inherited e) {
             Memory.unpack(e.memory(), destinations, groups, routes);
             elsewhere = e.callsOut();
@@ -217,10 +227,11 @@
 
     private Request add(Accepted e) {
         RequestClass type = classes.get(e.requestClass());
-        if (type == null) {
+        if (type == null && e.terms() == null) {
             throw new IllegalArgumentException("unknown request class " + e.requestClass());
         }
-        Request request = new Request(e, type, destination(e.destination()));
+        Terms terms = e.terms() != null ? e.terms() : new Terms(type, settings.limits().maxAttempts());
+        Request request = new Request(e, terms, destination(e.destination()));
         requests.put(request.id, request);
         ends.add(request);
         count(request.destination.came);
@@ -399,7 +410,7 @@
     }
 
     private void tryAgain(Request request) {
-        boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
+        boolean spent = request.attempts.size() >= request.maxAttempts;
         boolean ran = firstThatMayHaveRun(request) != null;
         if (now >= request.deadline || spent || ran && request.type.repeat() == Repeat.ONCE) {
             end(request);
@@ -1003,7 +1014,7 @@
 
     private long timeout(Request request, Call call) {
         boolean last = request.type.repeat() == Repeat.ONCE
-                || request.attempts.size() >= settings.limits().maxAttempts();
+                || request.attempts.size() >= request.maxAttempts;
         if (last) {
             return 0;
         }
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -56,6 +56,9 @@
         }
     }
 
+    /** What a request was taken on under, whatever the settings say later. */
+    record Terms(RequestClass type, int maxAttempts) { }
+
     /** A tenant and the requests a second, over all relays, that count as its share. */
     record Tenant(String name, double quota) { }
 
@@ -109,9 +112,20 @@
     /** Something that happened. */
     sealed interface Event { }
 
-    /** A request was accepted and is owed one final answer. {@code tenant} and {@code key} may be null. */
-    record Accepted(long id, String requestClass, String tenant, String key, long deadline, int destination)
-            implements Event { }
+    /**
+     * A request was accepted and is owed one final answer. {@code tenant} and {@code key} may be null, and
+     * {@code terms} where those of the settings hold.
+     */
+    record Accepted(long id, String requestClass, String tenant, String key, long deadline, int destination,
+            Terms terms) implements Event {
+        /** On the terms of the settings. */
+        public Accepted(long id, String requestClass, String tenant, String key, long deadline, int destination) {
+            this(id, requestClass, tenant, key, deadline, destination, null);
+        }
+    }
+
+    /** Other settings hold from now on; requests accepted before keep their terms. */
+    record Retuned(Settings settings) implements Event { }
 
     /** An attempt made before a restart; {@code result} is null where nothing is known of it. */
     record PastAttempt(String route, long sentAt, Result result) { }
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -11,6 +11,7 @@
 import pipitstage.Policy.Listed;
 import pipitstage.Policy.RequestClass;
 import pipitstage.Policy.Result;
+import pipitstage.Policy.Terms;
 
 /** What {@link Logic} remembers; it holds no decision. */
 final class State {
@@ -160,6 +161,7 @@
     static final class Request {
         final long id;
         final RequestClass type;
+        final int maxAttempts;
         final String key;
         final long acceptedAt;
         final long deadline;
@@ -168,9 +170,10 @@
         int out;
         boolean done;
 
-        Request(Accepted e, RequestClass type, Destination destination) {
+        Request(Accepted e, Terms terms, Destination destination) {
             id = e.id();
-            this.type = type;
+            type = terms.type();
+            maxAttempts = terms.maxAttempts();
             key = type.inOrder() ? e.key() : null;
             deadline = e.deadline();
             acceptedAt = deadline - type.deadline();
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Closes connections as they fall idle, one after another; whatever a client has begun to send is still answered. One that has sent
-     * nothing yet has come just now and is about to.
+     * Closes connections as they fall idle, one after another; whatever a client has begun to send is still answered.
+     * One that has sent nothing yet has come just now and is about to.
      */
     void drain() {
         if (draining) {
--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -8,8 +8,11 @@
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import pipitstage.Fields;
 import pipitstage.Policy;
 import pipitstage.WireCodec;
@@ -18,16 +21,19 @@
 /**
  * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
  * {@code known} empty where no earlier list is known; {@code admin} is null where operators have no address.
+ * {@code source} is the file as it was read.
  */
 record Config(InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, Path state,
         int sockets, long diskBytes,
         Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
-        List<Target> known) {
+        List<Target> known, Map<?, ?> source) {
 
     private static final long MIB = 1 << 20;
     /** Descriptors for all but connections: the JVM's, journal's, discovery's, operators', one just accepted. */
     private static final int OTHER_DESCRIPTORS = 36 + AdminServer.MOST_CALLERS;
     private static final double CLIENT_SHARE = 0.55;
+    /** What a later file need not have. */
+    private static final Set<String> OPTIONAL = Set.of("/known", "/admin_addr");
 
     /** A setting that is missing or makes no sense; the message is for staff. */
     static final class BadConfigException extends Exception {
@@ -44,7 +50,10 @@
         Path state = Path.of(variable(environment, "EDGE_STATE"));
         try (JsonParser parser = new JsonFactory().createParser(Files.readString(file))) {
             parser.nextToken();
-            return of(Fields.ofObject("config", Fields.read(parser)), state, environment.get("EDGE_ADMIN_ADDR"));
+            if (!(Fields.read(parser) instanceof Map<?, ?> source) || parser.nextToken() != null) {
+                throw new WireException("one object is needed");
+            }
+            return of(source, state, environment.get("EDGE_ADMIN_ADDR"));
         } catch (IOException e) {
             throw new BadConfigException("EDGE_CONFIG: can't be read: " + e.getMessage());
         } catch (WireException | IllegalArgumentException e) {
@@ -52,7 +61,8 @@
         }
     }
 
-    private static Config of(Fields json, Path state, String ownAdmin) {
+    private static Config of(Map<?, ?> source, Path state, String ownAdmin) {
+        Fields json = Fields.ofObject("config", source);
         Fields params = json.object("settings");
         Fields limits = json.object("limits");
         Policy.Settings settings = WireCodec.settings(Long.parseUnsignedLong(json.text("seed"), 16), params);
@@ -69,7 +79,50 @@
         return new Config(address(json.text("listen")), admin == null ? null : address(admin),
                 address(json.text("discovery")), state, sockets(limits),
                 (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
-                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known);
+                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known,
+                source);
+    }
+
+    /**
+     * What a later file lacks that this one has, or has of another kind; null where nothing. Guards against a file
+     * that can be read but is not whole: what is optional by itself would silently take its default.
+     */
+    String lackOf(Config later) {
+        return lack("", source, later.source);
+    }
+
+    private static String lack(String where, Object here, Object there) {
+        if (here instanceof Map<?, ?> members) {
+            if (!(there instanceof Map<?, ?> others)) {
+                return where;
+            }
+            for (Map.Entry<?, ?> member : members.entrySet()) {
+                String path = where + "/" + member.getKey();
+                String lack = OPTIONAL.contains(path) ? null
+                        : lack(path, member.getValue(), others.get(member.getKey()));
+                if (lack != null) {
+                    return lack;
+                }
+            }
+            return null;
+        }
+        if (here instanceof List<?> entries) {
+            return there instanceof List<?> others ? lackOfEntries(where, entries, others) : where;
+        }
+        boolean alike = here == null || here instanceof Number && there instanceof Number
+                || there != null && here.getClass() == there.getClass();
+        return alike ? null : where;
+    }
+
+    /** Entries come and go; each has what all of the present ones have. */
+    private static String lackOfEntries(String where, List<?> here, List<?> there) {
+        if (here.isEmpty() || !here.stream().allMatch(entry -> entry instanceof Map)) {
+            return null;
+        }
+        Map<Object, Object> common = new HashMap<>((Map<?, ?>) here.get(0));
+        here.forEach(entry -> common.keySet().retainAll(((Map<?, ?>) entry).keySet()));
+        return there.stream().map(entry -> lack(where, common, entry)).filter(Objects::nonNull).findFirst()
+                .orElse(null);
     }
 
     private static int sockets(Fields limits) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,7 +14,6 @@
 import pipitstage.Policy;
 import pipitstage.Policy.Event;
 import pipitstage.Policy.LimitReport;
-import pipitstage.Policy.RequestClass;
 import pipitstage.Policy.Result;
 
 /**
@@ -32,19 +30,20 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Config config;
+    private final long diskBytes;
     private final Journal journal;
     private final Policy policy;
     private final HostClient hosts;
     private final Notices notices;
-    private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Set<String> tenants = new HashSet<>();
+    private final Classes classes;
     private final Set<Integer> destinations = new HashSet<>();
     private final Map<Long, Message> messages = new LinkedHashMap<>();
     private final Map<String, Message> byCallId = new HashMap<>();
     private final Map<String, List<HostClient.Outgoing>> outgoing = new LinkedHashMap<>();
     private final Counters counters = new Counters();
     private final Stats stats = new Stats();
+    private Policy.Settings settings;
+    private long period;
     private List<Event> events = new ArrayList<>();
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
@@ -60,22 +59,40 @@
     Engine(EventLoop loop, Clock clock, Config config, Journal journal, Function<Policy.Settings, Policy> module) {
         this.loop = loop;
         this.clock = clock;
-        this.config = config;
+        diskBytes = config.diskBytes();
+        settings = config.settings();
+        period = config.period();
         this.journal = journal;
         policy = module.apply(config.settings());
         hosts = new HostClient(loop, clock, config, this);
         notices = new Notices(loop, config.discovery(), this::noticeHeard);
-        config.settings().classes().forEach(type -> classes.put(type.name(), type));
-        stats.know(classes.keySet());
-        config.settings().tenants().forEach(tenant -> tenants.add(tenant.name()));
+        classes = new Classes(settings);
+        stats.know(classes.names());
         nextNumber = journal.nextNumber();
     }
 
+    /** Takes other settings whole: what is taken on from now on goes by them. */
+    void retune(Config next) {
+        settings = next.settings();
+        period = next.period();
+        classes.change(settings, clock.micros());
+        stats.know(classes.names());
+        stats.reloaded();
+        hosts.retune(next);
+        notices.moveTo(next.discovery());
+        add(new Policy.Retuned(settings));
+    }
+
+    /** A configuration was turned down. */
+    void notRetuned() {
+        stats.reloadFailed();
+    }
+
     /** Takes in the list known from before and what the journal holds. */
-    void start() {
+    void start(long knownVersion, List<Target> known) {
         loop.scheduleAtFixedRate(this::logFigures, FIGURES_MS, FIGURES_MS, TimeUnit.MILLISECONDS);
-        if (!config.known().isEmpty()) {
-            list(Policy.ListKind.CACHED, config.knownVersion(), config.known());
+        if (!known.isEmpty()) {
+            list(Policy.ListKind.CACHED, knownVersion, known);
         }
         journal.open().forEach(this::resume);
     }
@@ -100,7 +117,7 @@
     /** Takes up what a process that has ended left open, in a part that this one owns now. */
     @Override
     public void adopt(StateFolder.Part part) throws IOException {
-        List<Message> left = Journal.leftIn(part.folder(), config.diskBytes());
+        List<Message> left = Journal.leftIn(part.folder(), diskBytes);
         journal.alone();
         // Guards against what was passed on already when the process ended, before it could note that.
         left.stream().filter(message -> !byCallId.containsKey(message.content.callId()))
@@ -194,7 +211,7 @@
     private void logFigures() {
         String counts = counters.take();
         if (held > 0 || !counts.isEmpty()) {
-            Log.line("held " + held + ", calls " + attemptsOut + " of " + config.settings().limits().callSlots() + ", "
+            Log.line("held " + held + ", calls " + attemptsOut + " of " + settings.limits().callSlots() + ", "
                     + hosts.figures() + (counts.isEmpty() ? "" : "; " + counts));
         }
     }
@@ -204,11 +221,6 @@
         return stats.json(held, hosts.listed(), policy.unavailable(clock.micros()));
     }
 
-    /** Notices go to another address from now on, also those that have no answer yet. */
-    void noticesTo(InetSocketAddress address) {
-        notices.moveTo(address);
-    }
-
     boolean isReady() {
         return ready;
     }
@@ -240,9 +252,7 @@
      * list, and a key is there if one is needed.
      */
     boolean knows(Message.Content content) {
-        RequestClass type = classes.get(content.requestClass());
-        return type != null && (type.repeat() != Policy.Repeat.BY_KEY || content.key() != null)
-                && (tenants.isEmpty() || tenants.contains(content.tenant()))
+        return classes.of(content, clock.micros()) != null
                 && (destinations.contains(content.destination()) || !listTold);
     }
 
@@ -268,9 +278,9 @@
         // Guards against promises that a relay short of CPU can't keep, and against clients that have left by now:
         // what may have lain unread so long is refused at once. It harms where the client has come just now.
         boolean behind = clock.micros() - unreadSince > MOST_LAG;
-        Message message = new Message(nextNumber, content);
+        Message message = new Message(nextNumber, content, classes.of(content, clock.micros()));
         String obstacle = !ready ? "not ready" : behind ? "behind" : !reachable ? "unknown destination"
-                : held >= config.settings().limits().maxOpen() ? "full" : !journal.accept(message) ? "no disk" : null;
+                : held >= settings.limits().maxOpen() ? "full" : !journal.accept(message) ? "no disk" : null;
         if (obstacle != null) {
             counters.count("turned away: " + obstacle);
             stats.rejected(content.requestClass());
@@ -296,7 +306,7 @@
     private static Policy.Accepted acceptance(Message message) {
         Message.Content content = message.content;
         return new Policy.Accepted(message.number, content.requestClass(), content.tenant(), content.key(),
-                content.deadline(), content.destination());
+                content.deadline(), content.destination(), message.terms);
     }
 
     /** The client left before its answer: nothing is owed to it. */
@@ -323,7 +333,7 @@
         if (!roundDue) {
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
-            loop.schedule(this::round, config.period(), TimeUnit.MICROSECONDS);
+            loop.schedule(this::round, period, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -100,9 +100,9 @@
     private final Clock clock;
     private final Results results;
     private final Bootstrap bootstrap;
-    private final boolean reports;
+    private boolean reports;
     /** The longest that a connection is kept idle. */
-    private final long idleSpan;
+    private long idleSpan;
     /** How long one was found worth keeping, and when. */
     private long kept;
     private long keptAt;
@@ -123,18 +123,24 @@
         this.loop = loop;
         this.clock = clock;
         this.results = results;
+        mostEver = config.hostConnections();
+        mostConnections = mostEver;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true);
+        retune(config);
+        kept = idleSpan;
+        keptAt = clock.micros();
+    }
+
+    /** Goes by other settings from now on. */
+    void retune(Config config) {
         reports = config.reports();
         // Guards against a call on a connection that the host is just closing: it would end as a reset.
         idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
-        kept = idleSpan;
-        keptAt = clock.micros();
-        mostEver = config.hostConnections();
-        mostConnections = mostEver;
+        kinds.clear();
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
         long connectTimeout = config.settings().limits().connectTimeout();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
     }
 
     /** Takes in a list of hosts; what drains or is gone is sent nothing new from now on. */
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -44,6 +44,8 @@
     private static final int RESULT = 3;
     private static final int DECIDED = 4;
     private static final int DONE = 5;
+    /** As accepted, with the terms; the records of former versions lack them. */
+    private static final int ACCEPTED_UNDER = 6;
 
     private interface Payload {
         void write(DataOutputStream out) throws IOException;
@@ -337,7 +339,7 @@
     private static Payload accepted(Message message) {
         Message.Content content = message.content;
         return out -> {
-            out.writeByte(ACCEPTED);
+            out.writeByte(message.terms == null ? ACCEPTED : ACCEPTED_UNDER);
             out.writeLong(message.number);
             out.writeUTF(content.callId());
             out.writeUTF(content.requestClass());
@@ -347,6 +349,9 @@
             out.writeInt(content.destination());
             out.writeInt(content.body().length);
             out.write(content.body());
+            if (message.terms != null) {
+                writeTerms(out, message.terms);
+            }
         };
     }
 
@@ -431,8 +436,10 @@
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
             int type = in.readByte();
             long number = in.readLong();
-            if (type == ACCEPTED) {
-                add(new Message(number, readContent(in)), payload.length + HEAD);
+            if (type == ACCEPTED || type == ACCEPTED_UNDER) {
+                Message.Content content = readContent(in);
+                Policy.Terms terms = type == ACCEPTED ? null : readTerms(in, content.requestClass());
+                add(new Message(number, content, terms), payload.length + HEAD);
                 return true;
             }
             lastNumber = Math.max(lastNumber, number);
@@ -480,6 +487,26 @@
         return new Message.Content(callId, requestClass, tenant, key, deadline, destination, body);
     }
 
+    private static void writeTerms(DataOutputStream out, Policy.Terms terms) throws IOException {
+        Policy.RequestClass type = terms.type();
+        out.writeByte(type.repeat().ordinal());
+        out.writeByte(type.keyScope().ordinal());
+        out.writeLong(type.keyWindow());
+        out.writeLong(type.goal());
+        out.writeLong(type.deadline());
+        out.writeDouble(type.worth());
+        out.writeDouble(type.lateWorth());
+        out.writeBoolean(type.inOrder());
+        out.writeInt(terms.maxAttempts());
+    }
+
+    private static Policy.Terms readTerms(DataInputStream in, String name) throws IOException {
+        Policy.RequestClass type = new Policy.RequestClass(name, Policy.Repeat.values()[in.readByte()],
+                Policy.KeyScope.values()[in.readByte()], in.readLong(), in.readLong(), in.readLong(),
+                in.readDouble(), in.readDouble(), in.readBoolean());
+        return new Policy.Terms(type, in.readInt());
+    }
+
     private static void writeOptional(DataOutputStream out, String text) throws IOException {
         out.writeBoolean(text != null);
         if (text != null) {
--- a/src/main/java/pipitstage/relay/Main.java
+++ b/src/main/java/pipitstage/relay/Main.java
@@ -28,7 +28,7 @@
             Config config = Config.read(System.getenv());
             EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Relay relay = new Relay(loop, config);
-            Reload.onHangUp(System.getenv(), relay::reload);
+            Reload.onHangUp(System.getenv(), config, relay);
             relay.start();
             Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
         } catch (Config.BadConfigException e) {
--- a/src/main/java/pipitstage/relay/Message.java
+++ b/src/main/java/pipitstage/relay/Message.java
@@ -33,6 +33,8 @@
     /** Number in this relay's journal. */
     final long number;
     final Content content;
+    /** What it was taken on under; null where a former version of the journal does not tell. */
+    final Policy.Terms terms;
     final List<Attempt> attempts = new ArrayList<>();
     /** Where the client that handed the message in waits; null once it has its answer. */
     ClientReply client;
@@ -43,14 +45,15 @@
     boolean over;
     private int out;
 
-    Message(long number, Content content) {
+    Message(long number, Content content, Policy.Terms terms) {
         this.number = number;
         this.content = content;
+        this.terms = terms;
     }
 
     /** The same message under a number of another journal. */
     Message renumbered(long next) {
-        Message copy = new Message(next, content);
+        Message copy = new Message(next, content, terms);
         attempts.forEach(attempt -> copy.addAttempt(attempt.route, attempt.sentAt).result = attempt.result);
         copy.end = end;
         return copy;
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -13,7 +13,7 @@
 import pipitstage.Logic;
 
 /** The relay as a whole: puts its parts together, starts them and ends them. */
-final class Relay implements AdminServer.Controls, SuccessorLink.Elder {
+final class Relay implements AdminServer.Controls, SuccessorLink.Elder, Reload.Taker {
     // After the signal to end; the kill comes no sooner than 3.7 s after it.
     private static final long SERVE_ON_MS = 500; // new connections still come, also when operators empty the relay
     private static final long BEGIN_NOTHING_MS = 2200; // calls take about a second
@@ -56,7 +56,7 @@
         try {
             loop.submit(() -> {
                 pulse.start();
-                engine.start();
+                engine.start(config.knownVersion(), config.known());
                 discovery.start();
                 successor.listen(state.own());
             }).sync();
@@ -164,12 +164,22 @@
         }
     }
 
-    /** Takes over the address of discovery; everything else is read at the start alone. */
-    void reload(Config next) {
+    /** Takes over the address of discovery and all settings; addresses and limits of its own stay. */
+    @Override
+    public void taken(Config next) {
         loop.execute(() -> {
-            Log.line("discovery is at " + next.discovery());
+            Log.line("new settings, " + next.settings().classes().size() + " classes; discovery is at "
+                    + next.discovery());
+            engine.retune(next);
             discovery.moveTo(next.discovery());
-            engine.noticesTo(next.discovery());
+        });
+    }
+
+    @Override
+    public void turnedDown(String why) {
+        loop.execute(() -> {
+            Log.line("the old configuration stays in force: " + why);
+            engine.notRetuned();
         });
     }
 
--- a/src/test/java/pipitstage/relay/JournalTest.java
+++ b/src/test/java/pipitstage/relay/JournalTest.java
@@ -24,7 +24,7 @@
     Path folder;
 
     private static Message message(long number, int bytes) {
-        return new Message(number, new Message.Content("id" + number, "safe", "acme", null, 123, 7, new byte[bytes]));
+        return new Message(number, new Message.Content("id" + number, "safe", "acme", null, 123, 7, new byte[bytes]), null);
     }
 
     private List<Message> reopened() throws IOException {
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -34,6 +35,7 @@
     private int starts;
     private String listen = "127.0.0.1:0";
     private String name = "log";
+    private UnaryOperator<String> edit = UnaryOperator.identity();
 
     RelayProcess(Path folder, StubPeer discovery) {
         this.folder = folder;
@@ -106,10 +108,10 @@
     }
 
     private void configure() throws IOException {
-        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\""
+        Files.writeString(config(), edit.apply("{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMb + "},\"known\":"
-                + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}");
+                + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}"));
     }
 
     /** Discovery is at another place from now on; the relay hears of it by SIGHUP. */
@@ -119,9 +121,10 @@
         hangUp();
     }
 
-    /** The configuration can't be read any more; the relay hears of it by SIGHUP. */
-    void spoilConfiguration() throws IOException {
-        Files.writeString(config(), "{");
+    /** The configuration is another one from now on; the relay hears of it by SIGHUP. */
+    void reconfigure(UnaryOperator<String> next) throws IOException {
+        edit = next;
+        configure();
         hangUp();
     }
 
--- a/src/test/java/pipitstage/relay/ReloadTest.java
+++ b/src/test/java/pipitstage/relay/ReloadTest.java
@@ -9,6 +9,8 @@
 import static pipitstage.relay.StubPeer.status;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -91,10 +93,84 @@
     @Test
     void configurationThatCannotBeReadLeavesTheOldOneInForce() throws IOException {
         relay.start();
-        relay.spoilConfiguration();
+        relay.reconfigure(text -> "{");
         await(() -> relay.log().contains("the old configuration stays in force"));
         host.answer(request -> StubPeer.CLOSE);
         assertEquals(202, relay.handIn("u2", "unsafe", 7));
         await(() -> relay.noticed("u2", "dead"));
     }
+
+    private static final String LATE_CLASS = "{\"name\":\"late\",\"repeat\":\"once\",\"goal-time-s\":2,"
+            + "\"deadline-s\":20,\"worth\":1}";
+
+    private static String withLateClass(String text) {
+        return text.replace("\"classes\":[", "\"classes\":[" + LATE_CLASS + ",");
+    }
+
+    @Test
+    void classThatIsAddedIsTakenOnByItsOwnRules() throws IOException {
+        host.answer(request -> StubPeer.CLOSE);
+        relay.start();
+        assertEquals(400, relay.handIn("l0", "late", 7));
+        relay.reconfigure(ReloadTest::withLateClass);
+        await(() -> relay.stats().contains("\"config_reloads\":1,\"config_reload_errors\":0"));
+        assertEquals(202, relay.handIn("l1", "late", 7));
+        await(() -> relay.noticed("l1", "dead"));
+        assertEquals(1, host.requests.size(), "it may be sent once");
+        await(() -> relay.stats().contains("\"late\":{\"completed\":0,\"rejected\":0,\"failed\":1}"));
+    }
+
+    @Test
+    void numberOfAttemptsChanges() throws IOException {
+        host.answer(request -> status(503, "X-Line-Busy: 1"));
+        relay.start();
+        relay.reconfigure(text -> text.replace("\"send-cap\":12", "\"send-cap\":2"));
+        await(() -> relay.stats().contains("\"config_reloads\":1,"));
+        assertEquals(202, relay.handIn("n1", "safe", 7));
+        await(() -> relay.noticed("n1", "bounced"));
+        assertEquals(2, host.requests.size());
+    }
+
+    @Test
+    void fileThatIsNotWholeOrMakesNoSenseChangesNothing() throws IOException {
+        relay.start();
+        List<UnaryOperator<String>> broken = List.of(text -> "", text -> text.substring(0, text.length() - 1),
+                text -> text + "}", text -> text.replace("\"fees\":{}", "\"other\":{}"),
+                text -> text.replace("\"deadline-s\":20", "\"deadline-s\":0"),
+                text -> text.replace("\"deadline-s\":20", "\"deadline-s\":-20"),
+                text -> text.replace("\"deadline-s\":20", "\"deadline-s\":\"20\""),
+                text -> text.replace("\"send-cap\":12,", ""), text -> text.replace(",\"worth\":1}", "}"),
+                text -> text.replace("\"send-cap\":12", "\"send-cap\":0"),
+                text -> text.replace("\"zones\":[\"a\"],", ""), text -> text.replace("\"accounts\"", "\"users\""));
+        for (int i = 0; i < broken.size(); i++) {
+            UnaryOperator<String> spoil = broken.get(i);
+            relay.reconfigure(text -> spoil.apply(withLateClass(text)));
+            String errors = "\"config_reloads\":0,\"config_reload_errors\":" + (i + 1) + "}";
+            await(() -> relay.stats().contains(errors));
+        }
+        assertEquals(400, relay.handIn("b1", "late", 7), "nothing of them is taken");
+        assertEquals(202, relay.handIn("b2", "safe", 7));
+        await(() -> host.count("POST") == 1);
+        assertTrue(discovery.connections.size() > 0 && relay.isAlive());
+    }
+
+    @Test
+    void openMessageKeepsItsClassWhenThatIsDroppedAlsoAcrossARestart() throws IOException {
+        host.answer(request -> StubPeer.SILENCE);
+        relay.start();
+        assertEquals(202, relay.handIn("o1", "unsafe", 7));
+        assertEquals(202, relay.handIn("o2", "safe", 7));
+        await(() -> host.count("POST") == 2);
+        UnaryOperator<String> dropped = text -> text.replace("\"name\":\"unsafe\"", "\"name\":\"other\"")
+                .replace("\"name\":\"safe\",\"repeat\":\"repeatable\"", "\"name\":\"safe\",\"repeat\":\"once\"");
+        relay.reconfigure(dropped);
+        await(() -> relay.stats().contains("\"config_reloads\":1,"));
+        relay.kill();
+        host.answer(request -> status(200));
+        relay.start();
+        await(() -> relay.noticed("o1", "dead"));
+        await(() -> host.count("POST") == 3);
+        assertEquals("o2", host.requests.get(2).id(), "it was taken on as one that may be repeated");
+        assertEquals(400, relay.handIn("o3", "unsafe", 7));
+    }
 }
