Log which destination is waited for most, and to what a pace is cut

The lines show one destination, cut to 1.5 calls a second at 1.8 s and not refused once in the 30 s that its pace took to grow to 16; 400 to 470 wait for it.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -542,6 +542,8 @@
         group.pace = group.pace == Double.POSITIVE_INFINITY
                 ? Math.max(limit / senders, rate(group.served) / 2)
                 : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
+        actions.log("slower: " + group.routes.get(0).name + " (pace " + (float) group.pace + ", served "
+                + (float) rate(group.served) + " a second)");
     }
 
     private void open(Circuit circuit, Group group, boolean bySilence, long wait) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -212,7 +212,7 @@
         String counts = counters.take();
         if (held > 0 || !counts.isEmpty()) {
             Log.line("held " + held + ", calls " + attemptsOut + " of " + settings.limits().callSlots() + ", "
-                    + hosts.figures() + (counts.isEmpty() ? "" : "; " + counts));
+                    + hosts.figures() + longestWait() + (counts.isEmpty() ? "" : "; " + counts));
         }
     }
 
@@ -221,6 +221,18 @@
         return stats.json(held, hosts.listed(), policy.unavailable(clock.micros()));
     }
 
+    /** The destination that most messages wait for, where many do. */
+    private String longestWait() {
+        Map<Integer, Integer> waiting = new HashMap<>();
+        for (Message message : messages.values()) {
+            if (!message.hasAttemptsOut() && message.end == null) {
+                waiting.merge(message.content.destination(), 1, Integer::sum);
+            }
+        }
+        return waiting.entrySet().stream().max(Map.Entry.comparingByValue()).filter(most -> most.getValue() > 1)
+                .map(most -> ", " + most.getValue() + " wait for destination " + most.getKey()).orElse("");
+    }
+
     boolean isReady() {
         return ready;
     }
