Log each call that is given up unanswered, and how its connection had been used

The lines rule out the rest of a connection (after 2 ms as after 6 s idle), its age (first calls too) and any one endpoint.

--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -337,6 +337,10 @@
             end(client.unqueue(this));
             return;
         }
+        if (sent) {
+            Log.line("no answer: " + host.route() + " for " + (client.now() - startedAt) / 1000 + " ms, "
+                    + connection.history());
+        }
         end(sent ? result : Result.CONNECT_FAILED);
         client.closeIdle(host);
         connection.close();
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -37,6 +37,7 @@
     private long restsSince;
     private long rest;
     private Future<?> timer;
+    private int carried;
 
     HostConnection(HostClient client, HostClient.Host host) {
         this.client = client;
@@ -61,6 +62,7 @@
     void carry(HostCall next) {
         stopTimer();
         rest = rested();
+        carried++;
         call = next;
         reusable = false;
         decoder.await();
@@ -79,6 +81,12 @@
         return restsSince == 0 ? 0 : client.now() - restsSince;
     }
 
+    /** How the connection had been used before its call, for staff. */
+    String history() {
+        return carried == 1 ? "first call on its connection" : "call " + carried + " on its connection after "
+                + rest / 1000 + " ms idle";
+    }
+
     void retireAfter(long micros) {
         startTimer(micros, this::close);
     }
