--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -27,6 +27,7 @@
     private static final double PACE_GROWTH = 0.1; // the source's
     private static final double PACE_CUT = 0.5; // from few senders to a fleet in few refusals
     private static final double LEAST_PACE = 3; // of all relays, where no limit is known
+    private static final double EVEN_SHARE = 0.5; // of the mean quota: few destinations take less
     private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
     private static final long GROWTH_SPAN = 5_000_000; // one serve after a long rest proves little
     private static final long CUT_PAUSE = 500_000; // refusals so soon after a cut were sent before it
@@ -539,13 +540,22 @@
     private void cut(Group group) {
         group.cutAt = now;
         group.grownAt = now;
-        double limit = limit(group) > 0 ? limit(group) : LEAST_PACE;
+        double limit = limit(group) > 0 ? limit(group) : leastPace();
         double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
         group.pace = group.pace == Double.POSITIVE_INFINITY
                 ? Math.max(limit / senders, rate(group.served) / 2)
                 : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
     }
 
+    /**
+     * Calls a second, of all relays, below which refusals cut nothing. Guards against a pace that takes half
+     * a minute to grow to what comes, where tenants may send far more than {@link #LEAST_PACE} was made for.
+     */
+    private double leastPace() {
+        double quotas = settings.tenants().stream().mapToDouble(Tenant::quota).sum();
+        return Math.max(LEAST_PACE, EVEN_SHARE * quotas / Math.max(1, destinations.size()));
+    }
+
     private void open(Circuit circuit, Group group, boolean bySilence, long wait) {
         if (circuit.state == CircuitState.CLOSED) {
             circuit.openedAt = now;
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -643,4 +643,30 @@
         heir.round(new Policy.AloneAgain());
         assertEquals(1, heir.sends(2));
     }
+
+    @Test
+    void refusalsCutThePaceNoLowerThanHalfAnEvenShareOfTheQuotas() {
+        Policy.Settings plain = Relay.settings();
+        Policy.Settings busy = new Policy.Settings(7, 0, 1, "east", plain.classes(),
+                List.of(new Policy.Tenant("acme", 40)), plain.kinds(), plain.zones(), plain.limits(), plain.rules(), 1,
+                false, false, Policy.RateHint.NONE, 0);
+        // Cut to 3 and to 20, and regrown by a tenth a second since.
+        assertEquals(4, callsInASecondAfterARefusal(plain), 1);
+        assertEquals(25, callsInASecondAfterARefusal(busy), 4);
+    }
+
+    /** At one destination, in the third second after its first refusal. */
+    private static long callsInASecondAfterARefusal(Policy.Settings settings) {
+        Relay one = new Relay(settings).list(route("a", 1, "plain", "east"));
+        one.accept(1, "safe", 1).pass(MS).answer(1, Result.FULL);
+        for (long id = 2; id < 90; id++) {
+            one.accept(id, "safe", 1);
+        }
+        long from = one.now + 2 * S;
+        while (one.now < from + S) {
+            one.pass(5 * MS);
+            List.copyOf(one.unanswered).forEach(sent -> one.answer(sent.id(), Result.OK));
+        }
+        return one.sent.stream().filter(sent -> sent.at() >= from && sent.at() < from + S).count();
+    }
 }
