End the connection that got on least where a crowd takes every one

As designed before, with its test: without the change a slow client and a whole message are both turned away among 300 that never finish one.

--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -83,13 +83,18 @@
     void closeIn(long millis) {
         startTimer(millis, () -> {
             // Guards against a request that has come since this pass has read: its client would see a reset.
-            ((AbstractNioChannel) context.channel()).unsafe().read();
+            readNow();
             if (idle) {
                 close();
             }
         });
     }
 
+    /** Reads what has come so far, without waiting for the loop's next pass. */
+    void readNow() {
+        ((AbstractNioChannel) context.channel()).unsafe().read();
+    }
+
     void close() {
         context.close();
     }
@@ -103,9 +108,11 @@
                 return;
             }
             bytesSince = unreadSince();
+            if (!answering) {
+                server.progressed(ClientConnection.this);
+            }
             if (idle) {
                 idle = false;
-                server.began(ClientConnection.this);
                 if (served) {
                     startTimer(REQUEST_MS, ClientConnection.this::stalled);
                 }
@@ -269,6 +276,7 @@
 
     private void handle(ClientRequest request) {
         answering = true;
+        server.completed(this);
         HttpRequest head = request.head();
         keepAlive = HttpUtil.isKeepAlive(head);
         if (head.uri().equals("/api")) {
@@ -316,6 +324,7 @@
         ending = !keepAlive || server.isDraining() && pipelined.isEmpty();
         boolean last = ending;
         if (last) {
+            server.completed(this);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         if (retryIn > 0) {
@@ -347,6 +356,7 @@
             server.fellIdle(this);
             startTimer(IDLE_MS, this::close);
         } else if (reading != null) {
+            server.progressed(this);
             startTimer(REQUEST_MS, this::stalled);
         }
         readMore();
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -14,6 +14,7 @@
 import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
@@ -34,8 +35,8 @@
     private final int mostEver;
     private int mostConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
-    /** Connections that have sent nothing yet, and those that are idle since their last answer, oldest first. */
-    private final Set<ClientConnection> silent = new LinkedHashSet<>();
+    /** Connections without a whole request, by their last byte, and those idle since an answer; oldest first. */
+    private final Set<ClientConnection> unfinished = new LinkedHashSet<>();
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private Channel listener;
     /** Since when connections may have waited to be accepted that the last pass left behind. */
@@ -172,11 +173,10 @@
         return connections.size();
     }
 
-    /** Guards against clients that take every descriptor: the ones that have stood longest go first. */
+    /** Guards against clients that take every descriptor: those go first that have got on with nothing for longest. */
     void opened(ClientConnection connection) {
         if (connections.size() >= mostConnections) {
-            Set<ClientConnection> standing = silent.isEmpty() ? idle : silent;
-            ClientConnection first = standing.isEmpty() ? connection : standing.iterator().next();
+            ClientConnection first = stalled(connection);
             // Guards against a house that fills further: its end is told later, and others come in the same pass.
             closed(first);
             first.close();
@@ -185,12 +185,30 @@
             }
         }
         connections.add(connection);
-        silent.add(connection);
+        unfinished.add(connection);
     }
 
-    void began(ClientConnection connection) {
-        silent.remove(connection);
+    private ClientConnection stalled(ClientConnection newest) {
+        for (ClientConnection first : List.copyOf(unfinished)) {
+            // Guards against ending a client whose last byte has come and is not read yet.
+            first.readNow();
+            if (!unfinished.isEmpty() && unfinished.iterator().next() == first) {
+                return first;
+            }
+        }
+        return idle.isEmpty() ? newest : idle.iterator().next();
+    }
+
+    /** Bytes have come that make no whole request yet. */
+    void progressed(ClientConnection connection) {
         idle.remove(connection);
+        unfinished.remove(connection);
+        unfinished.add(connection);
+    }
+
+    /** A request is whole, or nothing more of it is heeded. */
+    void completed(ClientConnection connection) {
+        unfinished.remove(connection);
     }
 
     void fellIdle(ClientConnection connection) {
@@ -199,7 +217,7 @@
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        silent.remove(connection);
+        unfinished.remove(connection);
         idle.remove(connection);
     }
 
--- a/src/test/java/pipitstage/relay/BadClientTest.java
+++ b/src/test/java/pipitstage/relay/BadClientTest.java
@@ -66,6 +66,24 @@
         assertTrue(most <= 256, "descriptors: " + most);
     }
 
+    @Test
+    void slowClientIsServedAmongACrowdThatNeverFinishesAMessage() throws IOException {
+        relay.start();
+        String message = RelayProcess.message("slow", "safe", 7, 20_000, "hello");
+        Socket slow = connect();
+        int sent = 0;
+        for (int i = 0; i < 300; i++) {
+            connect().getOutputStream().write("POST /api HTTP/1.1\r\nHost:".getBytes());
+            if (i % 15 == 0) {
+                slow.getOutputStream().write(message.charAt(sent++));
+                // All that has connected before is accepted once this is answered.
+                relay.exchange("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+            }
+        }
+        assertEquals(202, relay.handIn("quick", "safe", 7), "a message that comes whole");
+        assertEquals(202, RelayProcess.exchange(slow, message.substring(sent)).status());
+    }
+
     @Test
     void lackOfDescriptorsIsSurvived() throws IOException {
         relay.descriptors(100).start();
