Keep connections that have answered since a lost call left

A connection that has answered since the lost call left did not die with it. Ruled out: pace, circuits and descriptors, which the log shows with room.

--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -342,8 +342,8 @@
                     + connection.history());
         }
         end(sent ? result : Result.CONNECT_FAILED);
-        client.closeIdle(host);
-        connection.close();
+        client.closeIdle(host, startedAt);
+        connection.drop();
     }
 
     private static long waitOf(String text) {
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -242,8 +242,14 @@
      * that call would end as a reset, where a new connection that fails proves that it never ran.
      */
     void closeIdle(Host host) {
+        closeIdle(host, Long.MAX_VALUE);
+    }
+
+    /** As above, but for connections that have answered since a time: they did not die with what was sent then. */
+    void closeIdle(Host host, long provenSince) {
         host.breaks++;
-        List.copyOf(host.idle).forEach(HostConnection::close);
+        List.copyOf(host.idle).stream().filter(connection -> connection.restsSince() < provenSince)
+                .forEach(HostConnection::close);
     }
 
     private void start(HostCall call) {
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -81,6 +81,11 @@
         return restsSince == 0 ? 0 : client.now() - restsSince;
     }
 
+    /** When the last answer came. */
+    long restsSince() {
+        return restsSince;
+    }
+
     /** How the connection had been used before its call, for staff. */
     String history() {
         return carried == 1 ? "first call on its connection" : "call " + carried + " on its connection after "
@@ -107,6 +112,12 @@
         context.close();
     }
 
+    /** Closes under a call that the relay itself has given up: nothing of it is to be told any more. */
+    void drop() {
+        call = null;
+        close();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         // Guards against bytes that nobody asked for: what comes behind them can't be told apart any more.
@@ -202,7 +213,6 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
         client.closed(this);
-        // Guards against blaming the rest where the relay itself has given the call up.
         if (call != null && call.isOpen() && !decoder.hasBegun()) {
             client.brokeAfterRest(rest);
         }
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -152,6 +152,34 @@
         assertEquals(3, host.connections.size());
     }
 
+    @Test
+    void connectionThatAnsweredSinceALostCallLeftIsKept() throws IOException {
+        host.answer(request -> request.id().equals("lost") ? StubPeer.SILENCE : status(200));
+        relay.start().handIn("lost", "unsafe", 7, 1500, "x");
+        await(() -> host.hasCallFor("lost"));
+        relay.handIn("since", "safe", 7);
+        await(() -> host.hasCallFor("since") && relay.noticed("lost", "dead"));
+        relay.handIn("next", "safe", 7);
+        await(() -> host.hasCallFor("next"));
+        assertEquals(2, host.connections.size());
+    }
+
+    @Test
+    void connectionThatHasRestedSinceBeforeALostCallIsClosed() throws IOException {
+        host.answer(request -> {
+            await(() -> host.requests.size() >= 2);
+            return request.id().equals("lost") ? StubPeer.SILENCE : status(200);
+        });
+        relay.start().handIn("one", "safe", 7);
+        relay.handIn("other", "safe", 7);
+        await(() -> host.requests.size() == 2 && relay.journaled().isEmpty());
+        relay.handIn("lost", "unsafe", 7, 500, "x");
+        await(() -> relay.noticed("lost", "dead"));
+        relay.handIn("next", "safe", 7);
+        await(() -> host.hasCallFor("next"));
+        assertEquals(3, host.connections.size());
+    }
+
     @Test
     void answerThatMakesNoSenseIsSurvived() throws IOException {
         host.answer(request -> "\u0001\u0002 nonsense\r\n\r\n");
