--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -30,10 +30,6 @@
     private static final long PROBE_TIMEOUT = 1_500_000;
     private static final long SECOND = 1_000_000;
     private static final int MOST_BODY = 64 << 10;
-    /** A connection that broke after so short a rest was not dropped for its rest. */
-    private static final long LEAST_KEPT = 100_000;
-    /** The span for which connections are kept doubles in so long without another that broke. */
-    private static final double KEPT_DOUBLES = 10_000_000;
 
     /** Takes in what became of attempts and probes. */
     interface Results {
@@ -103,9 +99,7 @@
     private boolean reports;
     /** The longest that a connection is kept idle. */
     private long idleSpan;
-    /** How long one was found worth keeping, and when. */
-    private long kept;
-    private long keptAt;
+    private final Rests rests;
     private final int mostEver;
     private int mostConnections;
     private boolean retiring;
@@ -128,8 +122,7 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true);
         retune(config);
-        kept = idleSpan;
-        keptAt = clock.micros();
+        rests = new Rests(idleSpan, clock.micros());
     }
 
     /** Goes by other settings from now on. */
@@ -334,18 +327,18 @@
     }
 
     private long keepFor() {
-        return (long) Math.min(idleSpan, kept * Math.pow(2, (clock.micros() - keptAt) / KEPT_DOUBLES));
+        return rests.keepFor(idleSpan, clock.micros());
     }
 
-    /**
-     * Guards against hosts, and what lies before them, that drop idle connections long before the time in the
-     * settings and say nothing: the next call on each would end as a reset, and a message that may take effect only
-     * once with it. They share the way there, so one that broke speaks for all.
-     */
+    /** A call was answered whose connection had rested before. */
+    void heldAfterRest(long rest) {
+        rests.held(rest, clock.micros());
+    }
+
+    /** A connection broke under its call, after a rest. */
     void brokeAfterRest(long rest) {
-        if (rest > LEAST_KEPT) {
-            kept = Math.max(LEAST_KEPT, Math.min(keepFor(), rest) / 2);
-            keptAt = clock.micros();
+        if (rests.broke(rest, idleSpan, clock.micros())) {
+            long kept = keepFor();
             Log.line("a connection broke after " + rest / 1000 + " ms idle, they are kept for " + kept / 1000 + " ms");
             idle.stream().filter(connection -> connection.rested() > kept).toList().forEach(HostConnection::close);
         }
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -153,6 +153,7 @@
                 call = null;
                 answered = true;
                 restsSince = client.now();
+                client.heldAfterRest(rest);
                 done.complete();
             }
         }
