Let unanswered calls leave a wanted slot at once where answers prove lost

So the module learns which it is: a call is lost where its route has answered others since.

Ruled out: connections (half idle), circuits, pace.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -44,6 +44,7 @@
     private static final long OVERDUE_FLOOR = 2_500_000; // later than most goals
     private static final double OVERDUE_RATIO = 8; // times the usual response: work varies that much
     private static final long WANTED_FLOOR = 1_000_000; // others want the slot and another attempt may follow
+    private static final long LOSSY_FLOOR = 400_000; // and answers get lost
     private static final double WANTED_RATIO = 5;
     private static final long TEST_TIMEOUT = 1_500_000; // a longer test has told enough
     private static final double TEST_RATIO = 4; // where the usual response is long
@@ -89,6 +90,9 @@
     private final Set<Destination> busy = new LinkedHashSet<>();
     /** Calls out, oldest first; each takes a slot. */
     private final Set<Call> out = new LinkedHashSet<>();
+    /** Calls out for long by their route's measure: those answered after all, and those never. */
+    private final Rate answeredLate = new Rate(0);
+    private final Rate answerLost = new Rate(0);
     private long now;
     private Actions actions;
     private int held;
@@ -375,6 +379,7 @@
             call.judged = true;
             // Guards against blaming a route for a message that was sent shortly before its time was up.
             boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(call.route);
+            countLate(call, e.result(), e.elapsed());
             judge(call, early ? Result.NOT_SENT : e.result(), e.toldWait(), e.elapsed(), e.report());
         }
         forgetIfGone(call.route);
@@ -661,10 +666,35 @@
      * holds a slot as long as a dozen others. A second attempt gets more time, as the work may be long.
      */
     private long droppableAt(Call call) {
-        boolean again = call.requests.stream()
-                .allMatch(r -> r.type.repeat() != Repeat.ONCE && r.attempts.size() == 1);
-        return !again ? overdueAt(call) : Math.min(overdueAt(call),
-                call.sentAt + (long) Math.max(WANTED_FLOOR, WANTED_RATIO * response(call.route)));
+        long floor = losesAnswers() ? LOSSY_FLOOR : WANTED_FLOOR;
+        return !mayFollow(call) ? overdueAt(call) : Math.min(overdueAt(call),
+                call.sentAt + (long) Math.max(floor, WANTED_RATIO * response(call.route)));
+    }
+
+    /** True where another attempt may follow each first one of a call. */
+    private static boolean mayFollow(Call call) {
+        return call.requests.stream().allMatch(r -> r.type.repeat() != Repeat.ONCE && r.attempts.size() == 1);
+    }
+
+    /**
+     * Learns whether late answers still come. A call is lost, not slow, where its route has answered others
+     * since. Calls that go early while answers get lost tell nothing: theirs might have come.
+     */
+    private void countLate(Call call, Result result, long elapsed) {
+        if (elapsed < WANTED_RATIO * response(call.route) || losesAnswers() && mayFollow(call)) {
+            return;
+        }
+        boolean none = result == Result.TIMEOUT || result == Result.CANCELLED;
+        if (result == Result.OK) {
+            count(answeredLate);
+        } else if (none && call.route.answeredAt > call.sentAt) {
+            count(answerLost);
+        }
+    }
+
+    private boolean losesAnswers() {
+        double lost = rate(answerLost);
+        return lost * RATE_SPAN > LOST_TO_TELL * SECOND && lost > rate(answeredLate);
     }
 
     /** True where a call has been out for such a part of its span and nothing has answered since. */
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -606,6 +606,37 @@
         assertEquals(List.of(1L), narrow.cancelled, "the other may be sent once");
     }
 
+    @Test
+    void unansweredCallLeavesSoonerWhileAnswersProveLost() {
+        assertEquals(List.of(100L), cancelledAfterUnanswered(true));
+    }
+
+    @Test
+    void callsThatNothingWasAnsweredSinceProveNoAnswerLost() {
+        assertEquals(List.of(), cancelledAfterUnanswered(false));
+    }
+
+    /** What a relay with four slots gives up within 0.7 s once others want them, after five calls had no answer. */
+    private static List<Long> cancelledAfterUnanswered(boolean answeredSince) {
+        Relay narrow = new Relay(Relay.settings(4, 50)).list(route("a", 1, "plain", "east"),
+                route("d", 3, "plain", "east"), route("e", 4, "plain", "east"), route("f", 5, "plain", "east"),
+                route("g", 6, "plain", "east"));
+        for (int lost = 0; lost < 10; lost += 2) {
+            int other = lost + 1;
+            if (answeredSince) {
+                narrow.accept(lost, "once", 1);
+            }
+            narrow.pass(MS).accept(other, "safe", 1).pass(50 * MS).answer(other, Result.OK);
+            if (!answeredSince) {
+                narrow.pass(MS).accept(lost, "once", 1);
+            }
+            narrow.pass(S).answer(lost, Result.TIMEOUT);
+        }
+        narrow.accept(100, "safe", 1).accept(101, "once", 3).accept(102, "once", 4).accept(103, "once", 5).pass(MS);
+        narrow.accept(104, "safe", 6).pass(700 * MS);
+        return narrow.cancelled;
+    }
+
     @Test
     void anotherProcessGoesOnWithWaitsCircuitsAndSlots() {
         relay.accept(1, "safe", 2).pass(MS).answer(1, Result.FULL, 5 * S);
