Pass messages on to a newer process sixteen at a time

An older one that is told to end passes on what it has left first, up to the time at which it gives up: what it left was adopted in one go.

--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -229,7 +229,8 @@
 
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
-        boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
+        // Guards against leaving to be adopted what is just being passed on: that comes all at once.
+        boolean done = engine.isIdle() || !successor.isCommitted() && engine.isFrozen() && engine.isQuiet();
         if (clients.isDeserted() && done || late && !clients.isAnswering()) {
             clients.stopListening();
             stopped.countDown();
--- a/src/main/java/pipitstage/relay/SuccessorLink.java
+++ b/src/main/java/pipitstage/relay/SuccessorLink.java
@@ -10,6 +10,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import pipitstage.Policy;
@@ -18,6 +20,8 @@
 final class SuccessorLink {
     /** A newer process that does not listen so long after it was told all is given up, and this one serves on. */
     private static final long LISTEN_MS = 2000;
+    /** Guards against clients that wait while hundreds of messages pass at once: neither process reads them then. */
+    private static final int MOST_OFFERED = 16;
 
     /** What the relay does for its successor. */
     interface Elder {
@@ -36,6 +40,8 @@
 
     private final EventLoop loop;
     private final Elder elder;
+    /** Messages to be passed on, and those on the way, by their number here. */
+    private final Map<Long, Message> waiting = new LinkedHashMap<>();
     private final Map<Long, Message> offered = new HashMap<>();
     private Channel successor;
     private boolean committed;
@@ -105,12 +111,26 @@
 
     /** Passes on a message that is at rest: it is the successor's once that one has it in its journal. */
     void offer(Message message) {
-        if (successor.isActive() && offered.putIfAbsent(message.number, message) == null) {
-            byte[] records = Journal.pack(message);
-            Handover.send(successor, Handover.Word.MESSAGE, out -> {
-                out.writeLong(message.number);
-                out.write(records);
-            });
+        if (!offered.containsKey(message.number)) {
+            waiting.put(message.number, message);
+            offerNext();
+        }
+    }
+
+    private void offerNext() {
+        Iterator<Message> next = waiting.values().iterator();
+        while (successor.isActive() && next.hasNext() && offered.size() < MOST_OFFERED) {
+            Message message = next.next();
+            next.remove();
+            // Guards against passing on what has run out of time while it waited here.
+            if (message.end == null && !message.over) {
+                offered.put(message.number, message);
+                byte[] records = Journal.pack(message);
+                Handover.send(successor, Handover.Word.MESSAGE, out -> {
+                    out.writeLong(message.number);
+                    out.write(records);
+                });
+            }
         }
     }
 
@@ -119,6 +139,7 @@
         if (message != null) {
             elder.passedOn(message);
             Handover.send(successor, Handover.Word.YOURS, out -> out.writeLong(number));
+            offerNext();
         }
     }
 
--- a/src/test/java/pipitstage/relay/UpgradeTest.java
+++ b/src/test/java/pipitstage/relay/UpgradeTest.java
@@ -6,10 +6,12 @@
 import static pipitstage.relay.RelayProcess.await;
 import static pipitstage.relay.StubPeer.status;
 
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.StandardProtocolFamily;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
@@ -115,12 +117,7 @@
     void olderProcessServesOnWhereTheNewerOneEndsBeforeItListens() throws IOException, InterruptedException {
         relay.start();
         try (var asking = SocketChannel.open(Handover.address(relay.state()))) {
-            byte[] ask = Handover.bytes(out -> {
-                out.writeInt(Byte.BYTES + Integer.BYTES);
-                out.writeByte(Handover.Word.ASK.ordinal());
-                out.writeInt(Handover.VERSION);
-            });
-            asking.write(ByteBuffer.wrap(ask));
+            ask(asking);
             await(() -> relay.log().contains("another process takes over"));
             assertEquals(202, relay.handIn("m1", "safe", 7));
             assertEquals(0, host.requests.size(), "it decides nothing meanwhile");
@@ -128,6 +125,52 @@
         await(() -> calls("m1") == 1);
     }
 
+    private static void ask(SocketChannel older) throws IOException {
+        write(older, Handover.Word.ASK, out -> out.writeInt(Handover.VERSION));
+    }
+
+    private static void write(SocketChannel older, Handover.Word word, Handover.Payload payload) throws IOException {
+        byte[] frame = Handover.bytes(out -> {
+            out.writeByte(word.ordinal());
+            payload.write(out);
+        });
+        older.write(ByteBuffer.wrap(Handover.bytes(out -> {
+            out.writeInt(frame.length);
+            out.write(frame);
+        })));
+    }
+
+    /** The next frame of an older process: its word, and the number that follows it. */
+    private static String read(DataInputStream older) throws IOException {
+        byte[] frame = older.readNBytes(older.readInt());
+        return Handover.Word.values()[frame[0]] + " " + ByteBuffer.wrap(frame).getLong(1);
+    }
+
+    @Test
+    void messagesArePassedOnInSmallSteps() throws IOException {
+        host.answer(request -> status(429, "X-Come-Back-Ms: 60000"));
+        relay.start();
+        assertEquals(202, relay.handIn("m0", "safe", 7));
+        await(() -> relay.journaled().stream().flatMap(m -> m.attempts.stream()).anyMatch(a -> a.result != null));
+        for (int i = 1; i <= 20; i++) {
+            assertEquals(202, relay.handIn("m" + i, "safe", 7));
+        }
+        try (var asking = SocketChannel.open(Handover.address(relay.state()))) {
+            DataInputStream older = new DataInputStream(Channels.newInputStream(asking));
+            ask(asking);
+            assertTrue(read(older).startsWith("STANDING "));
+            write(asking, Handover.Word.LISTENING, out -> { });
+            String first = read(older);
+            for (int i = 1; i < 16; i++) {
+                assertTrue(read(older).startsWith("MESSAGE "));
+            }
+            long number = Long.parseLong(first.replace("MESSAGE ", ""));
+            write(asking, Handover.Word.KEPT, out -> out.writeLong(number));
+            assertEquals("YOURS " + number, read(older), "no more come before one is acknowledged");
+            assertTrue(read(older).startsWith("MESSAGE "));
+        }
+    }
+
     @Test
     void deadOwnerAndStaleSocketDoNotStopAStart() throws IOException {
         relay.start();
