Let calls that may go once also leave a wanted slot sooner where answers prove lost

A lost answer to a release-payment held its slot for 2.5 s, some 20 usual calls, though nothing comes any more. The message is failed either way and never sent again. Ruled out: that late payments are cut off, by the served share of their class.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -666,9 +666,13 @@
      * holds a slot as long as a dozen others. A second attempt gets more time, as the work may be long.
      */
     private long droppableAt(Call call) {
-        long floor = losesAnswers() ? LOSSY_FLOOR : WANTED_FLOOR;
-        return !mayFollow(call) ? overdueAt(call) : Math.min(overdueAt(call),
-                call.sentAt + (long) Math.max(floor, WANTED_RATIO * response(call.route)));
+        boolean lossy = losesAnswers();
+        if (!mayFollow(call)) {
+            return lossy ? call.sentAt + (long) Math.max(LOSSY_FLOOR, OVERDUE_RATIO * response(call.route))
+                    : overdueAt(call);
+        }
+        return Math.min(overdueAt(call), call.sentAt + (long) Math.max(lossy ? LOSSY_FLOOR : WANTED_FLOOR,
+                WANTED_RATIO * response(call.route)));
     }
 
     /** True where another attempt may follow each first one of a call. */
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -608,16 +608,21 @@
 
     @Test
     void unansweredCallLeavesSoonerWhileAnswersProveLost() {
-        assertEquals(List.of(100L), cancelledAfterUnanswered(true));
+        assertEquals(List.of(100L), cancelledAfterUnanswered(true, "safe"));
+    }
+
+    @Test
+    void unansweredCallThatMayGoOnceAlsoLeavesSoonerThen() {
+        assertEquals(List.of(100L), cancelledAfterUnanswered(true, "once"));
     }
 
     @Test
     void callsThatNothingWasAnsweredSinceProveNoAnswerLost() {
-        assertEquals(List.of(), cancelledAfterUnanswered(false));
+        assertEquals(List.of(), cancelledAfterUnanswered(false, "safe"));
     }
 
     /** What a relay with four slots gives up within 0.7 s once others want them, after five calls had no answer. */
-    private static List<Long> cancelledAfterUnanswered(boolean answeredSince) {
+    private static List<Long> cancelledAfterUnanswered(boolean answeredSince, String type) {
         Relay narrow = new Relay(Relay.settings(4, 50)).list(route("a", 1, "plain", "east"),
                 route("d", 3, "plain", "east"), route("e", 4, "plain", "east"), route("f", 5, "plain", "east"),
                 route("g", 6, "plain", "east"));
@@ -632,7 +637,7 @@
             }
             narrow.pass(S).answer(lost, Result.TIMEOUT);
         }
-        narrow.accept(100, "safe", 1).accept(101, "once", 3).accept(102, "once", 4).accept(103, "once", 5).pass(MS);
+        narrow.accept(100, type, 1).accept(101, "once", 3).accept(102, "once", 4).accept(103, "once", 5).pass(MS);
         narrow.accept(104, "safe", 6).pass(700 * MS);
         return narrow.cancelled;
     }
