Cut pace by the part refused and regain it in seconds

Seen, summed over the fleet a second and destination: paces of 14 relays stood at a floor made from quotas (26 calls a second at any destination). Refusals for 1 s counted as an outage: 36 circuits opened in two seconds. Lines at fault: Logic.cut, leastPace, growth, SHUT_SPAN.

Ruled out: slots (20 to 36 of 70 out), errors (next to none), told waits (they ended and calls were refused again).

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -24,15 +24,17 @@
     private static final double PLACE_BONUS = 8; // tilts the draw to near or cheap routes, can't decide it
 
     // Pace.
-    private static final double PACE_GROWTH = 0.1; // the source's
-    private static final double PACE_CUT = 0.5; // from few senders to a fleet in few refusals
+    private static final double PACE_GROWTH = 0.1; // the source's, at first
+    private static final double GROWTH_GAIN = 1; // more by each second: what was cut may have room again
+    private static final double PACE_REGAIN = 1; // doubling each second, to what was refused last
+    private static final double REGAINED = 0.8; // of that: the rest is for slow growth to find
+    private static final double PACE_CUT = 0.5; // at most, where next to nothing is served
     private static final double LEAST_PACE = 3; // of all relays, where no limit is known
-    private static final double EVEN_SHARE = 0.5; // of the mean quota: few destinations take less
     private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
-    private static final long GROWTH_SPAN = 5_000_000; // one serve after a long rest proves little
+    private static final long GROWTH_SPAN = 2_000_000; // one serve after a long rest proves little
     private static final long CUT_PAUSE = 500_000; // refusals so soon after a cut were sent before it
     private static final long SHUT_WAIT = 2_500_000; // longer than a counting window: the destination is shut
-    private static final long SHUT_SPAN = 1_000_000; // refusals without a serve for so long: as good as shut
+    private static final long SHUT_SPAN = 3_000_000; // refusals without a serve for so long: as good as shut
 
     // Release after an outage.
     private static final double RELEASE_MARGIN = 0.9; // of the rule's budget
@@ -66,8 +68,8 @@
     private static final double KEEPER_CUT = 0.8; // gentle, as a keeper hears the refusals of all
     private static final double MOST_FACTOR = 2; // a rough rate may be this much too low
 
-    private static final long RATE_SPAN = 10_000_000; // a relay may call a destination once in so long
-    private static final long LEAST_SEEN = 4_000_000; // a first burst is not what is usual
+    private static final long RATE_SPAN = Rate.SPAN; // a relay may call a destination once in so long
+    private static final double LEAST_SEEN = 0.4; // of a span: a first burst is not what is usual
     private static final long SECOND = 1_000_000;
     private static final long HORIZON = 2_000_000; // what those that wait now may wait longer
     private static final long WAKE = 1; // timer of whatever is due next
@@ -463,8 +465,10 @@
             report(group, Word.SERVED);
         }
         count(group.served);
-        group.pace *= growth(group.grownAt);
-        group.grownAt = now;
+        if (call.sentAt >= group.cutAt) {
+            group.servedSinceCut++;
+        }
+        regrow(group);
         close(call, group.circuit, route);
         if (route.circuit != group.circuit) {
             close(call, route.circuit, route);
@@ -476,6 +480,19 @@
         return Math.pow(1 + PACE_GROWTH, Math.min(GROWTH_SPAN, now - since) / (double) SECOND);
     }
 
+    /** Quickly to what went before the last cut, then slowly, and less so the longer nothing is refused. */
+    private void regrow(Group group) {
+        double span = Math.min(GROWTH_SPAN, now - group.grownAt) / (double) SECOND;
+        double told = Math.min(now - group.cutAt, (double) group.servedSinceCut * GROWTH_SPAN) / SECOND;
+        double known = group.refusedPace * REGAINED;
+        if (group.pace < known) {
+            group.pace = Math.min(known, group.pace * Math.pow(1 + PACE_REGAIN, span));
+        } else {
+            group.pace *= Math.pow(1 + PACE_GROWTH, span * (1 + told * GROWTH_GAIN));
+        }
+        group.grownAt = now;
+    }
+
     private void close(Call call, Circuit circuit, Route route) {
         circuit.run = 0;
         if (circuit.state == CircuitState.CLOSED) {
@@ -533,32 +550,41 @@
         if (shut || group.circuit.state != CircuitState.CLOSED) {
             open(group.circuit, group, false, wait);
         }
-        if (now - group.cutAt >= CUT_PAUSE) {
-            cut(group);
+        if (call.sentAt >= group.cutAt) {
+            group.refusedSinceCut++;
+            if (now - group.cutAt >= CUT_PAUSE) {
+                cut(group);
+            }
         }
         long until = Math.max(now, group.waitUntil);
         group.nextAt = Math.max(group.nextAt, until + spread(interval(group.pace)));
         report(group, Word.REFUSED);
     }
 
-    /** The limit over sender count, which refusals teach: an equal part is too little for who has a clump. */
+    /**
+     * The limit over sender count, which refusals teach, where one is known: an equal part is too little for
+     * who has a clump. Else the part that was served of what went of late. Guards against a fleet that one
+     * refusal each brings far below a limit, or that stays above a low one, which refused calls use up.
+     */
     private void cut(Group group) {
+        double limit = limit(group);
+        double went = Math.min(group.pace, lately(group));
+        double served = group.servedSinceCut / (double) (group.servedSinceCut + group.refusedSinceCut);
+        double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
+        boolean first = group.pace == Double.POSITIVE_INFINITY;
+        if (limit > 0) {
+            group.pace = first ? Math.max(limit / senders, rate(group.served) / 2)
+                    : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
+        } else {
+            double least = LEAST_PACE / (first ? senders : settings.fleetSize());
+            group.pace = Math.max(least, went * Math.max(PACE_CUT, served));
+        }
+        // Guards against a row of refusals after which nothing tells any more what had been served before it.
+        group.refusedPace = group.servedSinceCut > 0 ? went : Math.max(went, group.refusedPace);
         group.cutAt = now;
         group.grownAt = now;
-        double limit = limit(group) > 0 ? limit(group) : leastPace();
-        double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
-        group.pace = group.pace == Double.POSITIVE_INFINITY
-                ? Math.max(limit / senders, rate(group.served) / 2)
-                : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
-    }
-
-    /**
-     * Calls a second, of all relays, below which refusals cut nothing. Guards against a pace that takes half
-     * a minute to grow to what comes, where tenants may send far more than {@link #LEAST_PACE} was made for.
-     */
-    private double leastPace() {
-        double quotas = settings.tenants().stream().mapToDouble(Tenant::quota).sum();
-        return Math.max(LEAST_PACE, EVEN_SHARE * quotas / Math.max(1, destinations.size()));
+        group.servedSinceCut = 0;
+        group.refusedSinceCut = 0;
     }
 
     private void open(Circuit circuit, Group group, boolean bySilence, long wait) {
@@ -619,18 +645,25 @@
         return group.reportedRate > 0 ? group.reportedRate : hint;
     }
 
-    /** Events a second over the last {@link #RATE_SPAN} or so, or since they are counted. */
+    /** Events a second over the rate's span or so, or since they are counted. */
     private double rate(Rate rate) {
         // Guards against a relay just started that takes the events of its first seconds for those of ten.
-        double seen = 1 - Math.exp(-Math.max(LEAST_SEEN, now - rate.since) / (double) RATE_SPAN);
-        return rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN) * SECOND / RATE_SPAN / seen;
+        double span = rate.span;
+        double seen = 1 - Math.exp(-Math.max(LEAST_SEEN * span, now - rate.since) / span);
+        return rate.count * Math.exp((rate.at - now) / span) * SECOND / span / seen;
     }
 
     private void count(Rate rate) {
-        rate.count = 1 + rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN);
+        rate.count = 1 + rate.count * Math.exp((rate.at - now) / (double) rate.span);
         rate.at = now;
     }
 
+    /** What a relay sends; one that calls seldom goes by ten seconds: the call just refused tells little. */
+    private double lately(Group group) {
+        double others = Math.max(0, 1 - 1 / Math.max(1, group.latest.count));
+        return Math.max(rate(group.sent), rate(group.latest) * others);
+    }
+
     private boolean releasing(Group group) {
         return now - group.releasedAt < settings.rules().warmUp();
     }
@@ -1046,6 +1079,7 @@
         route.group.calls++;
         route.out.add(call);
         count(route.group.sent);
+        count(route.group.latest);
         route.group.turnUntil = now;
         route.group.nextAt = Math.max(route.group.nextAt, now) + interval(paceOf(route.group));
         send(request, call);
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -31,12 +31,21 @@
 
     /** A count of events that fades with time. */
     static final class Rate {
+        /** In microseconds, after which an event counts for a third. */
+        static final long SPAN = 10_000_000;
+
+        final long span;
         long since;
         double count;
         long at;
 
         Rate(long since) {
+            this(since, SPAN);
+        }
+
+        Rate(long since, long span) {
             this.since = since;
+            this.span = span;
         }
     }
 
@@ -69,12 +78,21 @@
 
     /** What shares one limit: a route where routes are apart, else all routes of the destination. */
     static final class Group {
+        private static final long LATEST = 2_000_000;
+
         final int number;
         final Circuit circuit = new Circuit();
         final List<Route> routes = new ArrayList<>();
         final Rate served;
         final Rate sent;
+        /** As {@link #sent}, of the last two seconds. */
+        final Rate latest;
         double pace = Double.POSITIVE_INFINITY;
+        /** At what pace the last refusal came. */
+        double refusedPace;
+        /** Of the calls sent since the last cut. */
+        int servedSinceCut;
+        int refusedSinceCut;
         long nextAt;
         long waitUntil;
         long cutAt = Long.MIN_VALUE / 2;
@@ -96,6 +114,7 @@
             this.number = number;
             served = new Rate(since);
             sent = new Rate(since);
+            latest = new Rate(since, LATEST);
         }
     }
 
