Share scarce connections and count refusals for them apart

Relays that came first kept theirs idle for 9 s and never learned of it; the module cut its pace and opened circuits for it (HostClient.free, HostCall.outcome, Logic.refused).

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -33,6 +33,8 @@
     private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
     private static final long GROWTH_SPAN = 2_000_000; // one serve after a long rest proves little
     private static final long CUT_PAUSE = 500_000; // refusals so soon after a cut were sent before it
+    private static final long CROWDED_PAUSE = 100_000; // about a call: a connection may be free after it
+    private static final int CROWDED_DOUBLES = 4; // at most
     private static final long SHUT_WAIT = 2_500_000; // longer than a counting window: the destination is shut
     private static final long SHUT_SPAN = 3_000_000; // refusals without a serve for so long: as good as shut
 
@@ -411,7 +413,8 @@
 
     /** Which results prove that an attempt took no effect. */
     private static boolean neverRan(Result result) {
-        return result == Result.FULL || result == Result.CONNECT_FAILED || result == Result.NOT_SENT;
+        return result == Result.FULL || result == Result.CROWDED || result == Result.CONNECT_FAILED
+                || result == Result.NOT_SENT;
     }
 
     private static Attempt firstThatMayHaveRun(Request request) {
@@ -446,6 +449,7 @@
             // Guards against taking connections that break for a route that fails: that one refuses new ones.
             case RESET -> failed(call, 0);
             case FULL -> refused(call, wait);
+            case CROWDED -> crowded(call);
             case NOT_SENT -> { }
         }
         if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
@@ -460,6 +464,7 @@
         route.response = route.response == 0 ? elapsed
                 : route.response + WEIGHT * (elapsed - route.response);
         group.refusals = 0;
+        route.crowded = 0;
         if (group.reports || group.circuit.state != CircuitState.CLOSED) {
             group.reports = false;
             report(group, Word.SERVED);
@@ -539,17 +544,28 @@
         }
     }
 
-    private void refused(Call call, long wait) {
-        Group group = call.route.group;
+    /** Leaves the connections to others for a while: a slower pace here would not free one. */
+    private void crowded(Call call) {
+        Route route = call.route;
+        openIfShut(route.group, 0);
+        route.crowdedUntil = now + spread(CROWDED_PAUSE << Math.min(route.crowded++, CROWDED_DOUBLES));
+    }
+
+    /** Guards against a shut destination, which refuses like one above its limit but returns cold. */
+    private void openIfShut(Group group, long wait) {
         if (group.refusals++ == 0) {
             group.refusedSince = now;
         }
-        // Guards against a shut destination, which refuses like one above its limit but returns cold.
         boolean shut = wait > SHUT_WAIT
                 || group.refusals >= FAILURES_TO_OPEN && now - group.refusedSince >= SHUT_SPAN;
         if (shut || group.circuit.state != CircuitState.CLOSED) {
             open(group.circuit, group, false, wait);
         }
+    }
+
+    private void refused(Call call, long wait) {
+        Group group = call.route.group;
+        openIfShut(group, wait);
         if (call.sentAt >= group.cutAt) {
             group.refusedSinceCut++;
             if (now - group.cutAt >= CUT_PAUSE) {
@@ -771,7 +787,7 @@
     private boolean usable(Route route) {
         Group group = route.group;
         openIfMute(route);
-        return route.listed && now >= group.waitUntil && mayGo(group)
+        return route.listed && now >= group.waitUntil && now >= route.crowdedUntil && mayGo(group)
                 && route.circuit.state == CircuitState.CLOSED && group.circuit.state == CircuitState.CLOSED
                 && !(route.out.size() >= 2 && mute(route, 0.5)) && !crowded(group, route);
     }
@@ -800,7 +816,7 @@
         if (first == null || request.type.repeat() == Repeat.REPEATABLE) {
             return true;
         }
-        if (request.type.repeat() == Repeat.ONCE || now >= first.call.sentAt + request.type.keyWindow()) {
+        if (request.type.repeat() == Repeat.ONCE || now >= repeatableUntil(request)) {
             return false;
         }
         return switch (request.type.keyScope()) {
@@ -810,6 +826,12 @@
         };
     }
 
+    /** Until when another attempt may leave. */
+    private static long repeatableUntil(Request request) {
+        Attempt first = request.type.repeat() == Repeat.BY_KEY ? firstThatMayHaveRun(request) : null;
+        return first == null ? Long.MAX_VALUE : first.call.sentAt + request.type.keyWindow();
+    }
+
     private Route pick(Request request, List<Route> usable) {
         List<Route> open = new ArrayList<>(usable.stream().filter(r -> allowed(request, r)).toList());
         if (open.size() > 1) {
@@ -1096,11 +1118,12 @@
 
     private void send(Request request, Call call) {
         unhold(request);
+        long until = repeatableUntil(request);
         request.attempts.add(new Attempt(call));
         request.out++;
         call.pending++;
         call.requests.add(request);
-        actions.send(request.id, call.route.name, timeout(request, call));
+        actions.send(request.id, call.route.name, timeout(request, call), until);
     }
 
     private long timeout(Request request, Call call) {
@@ -1207,7 +1230,7 @@
     private long dueAt(Route route) {
         Group group = route.group;
         long guarded = Math.min(group.guardedUntil, group.asked ? group.askedAt + PATIENCE : Long.MAX_VALUE);
-        long at = Math.max(Math.max(group.nextAt, group.waitUntil), guarded);
+        long at = Math.max(Math.max(group.nextAt, group.waitUntil), Math.max(guarded, route.crowdedUntil));
         if (route.circuit.state == CircuitState.OPEN) {
             at = Math.max(group.waitUntil, route.circuit.until);
         }
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -35,8 +35,8 @@
     /** Which routes of a destination drop a repeated key: all of them, or those in one zone or cell. */
     enum KeyScope { ALL, ZONE, CELL }
 
-    /** How an attempt ended. */
-    enum Result { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT }
+    /** How an attempt ended; {@code CROWDED}: turned away as its destination's connections are taken, not its limit. */
+    enum Result { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT, CROWDED }
 
     /** What the rate listed with a route is worth: nothing, exact, or up to half too high or too low. */
     enum RateHint { NONE, NOMINAL, ROUGH }
@@ -174,6 +174,11 @@
         /** Starts the next attempt of a request; {@code timeout} 0 means until its deadline. */
         void send(long id, String route, long timeout);
 
+        /** As above, for an attempt that may leave until a time; later, when it got a connection late, it must not. */
+        default void send(long id, String route, long timeout, long until) {
+            send(id, route, timeout);
+        }
+
         /** Stops waiting for an attempt. */
         void cancel(long id, int attempt);
 
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -64,6 +64,9 @@
         double errorRate;
         double response;
         long answeredAt;
+        /** How often in a row its connections were found taken, and until when it is left to others for that. */
+        int crowded;
+        long crowdedUntil;
         final ArrayDeque<Call> out = new ArrayDeque<>();
 
         Route(Listed entry, Destination destination, Group group, boolean apart) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -383,6 +383,11 @@
 
     @Override
     public void send(long id, String route, long timeout) {
+        send(id, route, timeout, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(long id, String route, long timeout, long until) {
         Message message = messages.get(id);
         if (message == null || message.end != null) {
             return;
@@ -398,7 +403,7 @@
             return;
         }
         outgoing.computeIfAbsent(route, r -> new ArrayList<>())
-                .add(new HostClient.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left));
+                .add(new HostClient.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left, until));
     }
 
     @Override
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -47,6 +47,7 @@
      * time left share a slow call that would yet be answered: the former end with the latter.
      */
     private final long until;
+    private final long leavesUntil;
     private final String probePath;
     /** Attempts that nothing is known of yet. */
     private final Map<Message.Attempt, Part> parts = new LinkedHashMap<>();
@@ -71,6 +72,7 @@
         probePath = null;
         probeTimeout = null;
         several = outgoing.size() > 1;
+        leavesUntil = outgoing.stream().mapToLong(HostClient.Outgoing::until).min().orElse(Long.MAX_VALUE);
         until = outgoing.stream().mapToLong(o -> o.attempt().message.content.deadline()).min().orElse(startedAt);
         for (HostClient.Outgoing o : outgoing) {
             long span = Math.min(o.timeout(), until - startedAt);
@@ -85,6 +87,7 @@
         this.host = host;
         startedAt = client.now();
         until = startedAt + timeout;
+        leavesUntil = until;
         probePath = path;
         several = false;
         probeTimeout = client.after(timeout, () -> abandon(Result.TIMEOUT));
@@ -105,6 +108,11 @@
         return startedAt;
     }
 
+    /** Until when it may begin. */
+    long leavesUntil() {
+        return leavesUntil;
+    }
+
     boolean isSent() {
         return sent;
     }
@@ -224,6 +232,9 @@
             eachOutcome();
             // Guards against an answer that leaves a message out: it may have run.
             end(Result.ERROR);
+        } else if (status == 503 && wait == 0 && !slotsTaken && connection.isTurnedAway()) {
+            client.crowded(host);
+            end(Result.CROWDED);
         } else {
             outcome(status);
         }
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -30,6 +30,10 @@
     private static final long PROBE_TIMEOUT = 1_500_000;
     private static final long SECOND = 1_000_000;
     private static final int MOST_BODY = 64 << 10;
+    /** How long a host's connections count as scarce after it has turned a new one away. */
+    private static final long SCARCE = 10 * SECOND;
+    /** Long enough for the next call that waits already. */
+    private static final long SCARCE_REST = 25_000;
 
     /** Takes in what became of attempts and probes. */
     interface Results {
@@ -42,8 +46,8 @@
         void written(int messages);
     }
 
-    /** An attempt to send and how long its answer is waited for. */
-    record Outgoing(Message.Attempt attempt, long timeout) { }
+    /** An attempt to send, how long its answer is waited for, and until when it may leave. */
+    record Outgoing(Message.Attempt attempt, long timeout, long until) { }
 
     /** Until when a destination, or a route apart, has told this relay to wait. */
     private static final class Wait {
@@ -59,6 +63,10 @@
         /** Calls that wait for a connection, oldest first. */
         private final Set<HostCall> queue = new LinkedHashSet<>();
         private int connecting;
+        /** Connections there are, those that are being made too. */
+        private int open;
+        /** Until when its connections count as scarce. */
+        private long scarceUntil;
         /** How often its kept connections were found not worth trusting. */
         private int breaks;
 
@@ -258,6 +266,10 @@
     }
 
     private void connect(Host host) {
+        // Guards against connections beyond those that the host takes: they are turned away, and their calls with them.
+        if (isScarce(host) && host.open > 0) {
+            return;
+        }
         if (connections.size() >= mostConnections && !idle.isEmpty()) {
             idle.iterator().next().close();
         }
@@ -267,6 +279,7 @@
             return;
         }
         host.connecting++;
+        host.open++;
         HostConnection connection = new HostConnection(this, host);
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
@@ -301,6 +314,11 @@
     /** One connection less: those that wait for room come next. */
     private void gone(HostConnection connection) {
         if (connections.remove(connection)) {
+            Host own = connection.host();
+            own.open--;
+            if (!own.queue.isEmpty() && own.open == 0) {
+                connect(own);
+            }
             for (Host host : List.copyOf(crowdedOut)) {
                 crowdedOut.remove(host);
                 for (int missing = host.queue.size() - host.connecting; missing > 0; missing--) {
@@ -322,10 +340,22 @@
         } else {
             host.idle.addLast(connection);
             idle.add(connection);
-            connection.retireAfter(keepFor());
+            connection.retireAfter(isScarce(host) ? Math.min(SCARCE_REST, keepFor()) : keepFor());
         }
     }
 
+    /**
+     * A host has as many connections as it takes. Guards against relays that keep theirs idle, and never learn of it,
+     * while others are turned away again and again: where they are scarce, each is let go once no call waits for it.
+     */
+    void crowded(Host host) {
+        host.scarceUntil = clock.micros() + SCARCE;
+    }
+
+    private boolean isScarce(Host host) {
+        return clock.micros() < host.scarceUntil;
+    }
+
     private long keepFor() {
         return rests.keepFor(idleSpan, clock.micros());
     }
@@ -351,8 +381,8 @@
     }
 
     private void begin(HostConnection connection, HostCall call) {
-        // Guards against a call that was connecting while its destination told this relay to wait.
-        if (clock.micros() < call.host().wait.until) {
+        // Guards against a call that was connecting while its destination told this relay to wait, or its time passed.
+        if (clock.micros() < call.host().wait.until || clock.micros() >= call.leavesUntil()) {
             call.end(Result.NOT_SENT);
             free(connection);
         } else {
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -86,6 +86,11 @@
         return restsSince;
     }
 
+    /** True where the host closes the connection behind its answer to the first call on it. */
+    boolean isTurnedAway() {
+        return carried == 1 && !reusable;
+    }
+
     /** How the connection had been used before its call, for staff. */
     String history() {
         return carried == 1 ? "first call on its connection" : "call " + carried + " on its connection after "
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -680,6 +680,29 @@
         assertEquals(1, heir.sends(2));
     }
 
+    @Test
+    void connectionsThatAreTakenCutNoPaceAndAreLeftToOthersForAMoment() {
+        callOften();
+        relay.accept(300, "safe", 2).pass(MS).answer(300, Result.CROWDED);
+        assertEquals(1, relay.sends(300), "not at once");
+        relay.pass(S);
+        assertEquals(2, relay.sends(300));
+        relay.answer(300, Result.OK).sent.clear();
+        relay.accept(301, "safe", 2).accept(302, "safe", 2).accept(303, "safe", 2);
+        assertEquals(3, relay.sent.size(), "no pace holds them");
+        assertTrue(relay.logged.isEmpty(), relay.logged.toString());
+    }
+
+    @Test
+    void repeatHasToLeaveWithinTheWindowOfItsKey() {
+        callOften();
+        relay.untils.clear();
+        relay.accept(300, "keyed", 2);
+        long first = relay.now;
+        relay.pass(MS).answer(300, Result.ERROR).pass(S);
+        assertEquals(List.of(Long.MAX_VALUE, first + 6 * S), relay.untils);
+    }
+
     @Test
     void refusalCutsThePaceByThePartThatWasRefused() {
         Relay one = servedTwentyASecond(Relay.settings());
--- a/src/test/java/pipitstage/Relay.java
+++ b/src/test/java/pipitstage/Relay.java
@@ -22,6 +22,8 @@
 
     final List<Sent> sent = new ArrayList<>();
     final List<Sent> unanswered = new ArrayList<>();
+    /** Until when each attempt sent may leave. */
+    final List<Long> untils = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<Long> cancelled = new ArrayList<>();
@@ -146,6 +148,12 @@
         unanswered.add(attempt);
     }
 
+    @Override
+    public void send(long id, String route, long timeout, long until) {
+        untils.add(until);
+        send(id, route, timeout);
+    }
+
     @Override
     public void cancel(long id, int attempt) {
         cancelled.add(id);
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -9,7 +9,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -278,4 +280,62 @@
         await(() -> relay.noticed("g2", "dead"));
         assertFalse(relay.log().contains("a connection broke"), relay.log());
     }
+
+    /** The host turns the first call away, on a connection that it closes; others answer as told. */
+    private void connectionsAreScarce(Function<StubPeer.Request, String> others) {
+        host.answer(request -> host.count("POST") == 1 ? StubPeer.status(503, "Connection: close")
+                : others.apply(request));
+    }
+
+    @Test
+    void scarceConnectionIsWaitedForAndThenLetGo() throws IOException, InterruptedException {
+        CountDownLatch free = new CountDownLatch(1);
+        connectionsAreScarce(request -> {
+            if ("b".equals(request.id())) {
+                await(() -> free.getCount() == 0);
+            }
+            return status(200);
+        });
+        relay.start();
+        assertEquals(202, relay.handIn("a", "safe", 7));
+        await(() -> host.requests.size() == 2);
+        await(() -> host.connections.get(1).isClosed());
+        assertEquals(202, relay.handIn("b", "safe", 7));
+        await(() -> host.hasCallFor("b"));
+        assertEquals(202, relay.handIn("c", "safe", 7));
+        Thread.sleep(500);
+        free.countDown();
+        await(() -> host.hasCallFor("c"));
+        assertEquals(3, host.connections.size(), "the one of b carried c too");
+    }
+
+    @Test
+    void repeatThatGetsAConnectionAfterItsWindowIsNotSent() throws IOException {
+        CountDownLatch waiting = new CountDownLatch(1);
+        CountDownLatch late = new CountDownLatch(1);
+        connectionsAreScarce(request -> {
+            if ("k".equals(request.id())) {
+                await(() -> waiting.getCount() == 0);
+                return status(500);
+            }
+            if ("b".equals(request.id())) {
+                await(() -> late.getCount() == 0);
+            }
+            return status(200);
+        });
+        relay.start();
+        assertEquals(202, relay.handIn("a", "safe", 7));
+        await(() -> host.requests.size() == 2);
+        assertEquals(202, relay.handIn("k", "keyed", 7, 9000, "hello"));
+        await(() -> host.hasCallFor("k"));
+        long from = System.nanoTime();
+        assertEquals(202, relay.handIn("b", "unsafe", 7));
+        await(() -> System.nanoTime() - from > 500_000_000L);
+        waiting.countDown();
+        await(() -> host.hasCallFor("b"));
+        await(() -> System.nanoTime() - from > 5_200_000_000L);
+        late.countDown();
+        await(() -> relay.noticed("k", "dead"));
+        assertEquals(1, host.requests.stream().filter(r -> "k".equals(r.id())).count());
+    }
 }
