Keep what was learned of routes across a kill, dated and bounded

Seen: after a kill every circuit is closed and every pace without limit (Relay starts Logic with nothing; Memory is packed for upgrades alone), and all relays that were killed together call all again at once.

It counts where the folder lasts. Old, cut, missing or foreign files are passed over with one line. Memory holds the pace refused last, version 2.

--- a/src/main/java/pipitstage/Memory.java
+++ b/src/main/java/pipitstage/Memory.java
@@ -16,7 +16,7 @@
 
 /** What of {@link State} outlives the process in an upgrade: all but requests, calls out and notes. */
 final class Memory {
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
 
     private Memory() { }
 
@@ -90,6 +90,7 @@
         write(out, group.served);
         write(out, group.sent);
         out.writeDouble(group.pace);
+        out.writeDouble(group.refusedPace);
         out.writeDouble(group.reportedRate);
         out.writeDouble(group.usualRate);
         out.writeInt(group.refusals);
@@ -104,6 +105,7 @@
         read(in, group.served);
         read(in, group.sent);
         group.pace = in.readDouble();
+        group.refusedPace = in.readDouble();
         group.reportedRate = in.readDouble();
         group.usualRate = in.readDouble();
         group.refusals = in.readInt();
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +28,7 @@
     /** How long passes may take while messages are still taken on; clients wait 400 ms for their answer. */
     private static final long MOST_LAG = 400_000;
     private static final long FIGURES_MS = 2000;
+    private static final long HEALTH_MS = 1000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -88,15 +90,28 @@
         stats.reloadFailed();
     }
 
-    /** Takes in the list known from before and what the journal holds. */
-    void start(long knownVersion, List<Target> known) {
+    /** Takes in the list known from before, what was learned of its routes, and what the journal holds. */
+    void start(long knownVersion, List<Target> known, Path health) {
         loop.scheduleAtFixedRate(this::logFigures, FIGURES_MS, FIGURES_MS, TimeUnit.MILLISECONDS);
         if (!known.isEmpty()) {
             list(Policy.ListKind.CACHED, knownVersion, known);
         }
+        byte[] learned = Health.read(health, clock.micros());
+        if (learned != null) {
+            add(new Policy.Inherited(learned, 0));
+            add(new Policy.AloneAgain());
+        }
+        loop.scheduleAtFixedRate(() -> keepHealth(health), HEALTH_MS, HEALTH_MS, TimeUnit.MILLISECONDS);
         journal.open().forEach(this::resume);
     }
 
+    private void keepHealth(Path health) {
+        // Guards against what this process no longer learns: another one decides for it.
+        if (!frozen) {
+            Health.write(health, policy.memory(), clock.micros());
+        }
+    }
+
     /** Goes on with a message that another process took on. */
     private void resume(Message message) {
         remember(message);
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -57,7 +57,7 @@
         try {
             loop.submit(() -> {
                 pulse.start();
-                engine.start(config.knownVersion(), config.known());
+                engine.start(config.knownVersion(), config.known(), state.own());
                 discovery.start();
                 successor.listen(state.own());
             }).sync();
