Let connections to all hosts of a kind go once one has no more

Ruled out: a limit on calls (no call over a kept connection was refused there), the endpoints' speed (median 0.5 s, connecting included).

At fault: HostClient.crowded and isScarce: only the relay that is turned away lets go, at that host, for 10 s. One that holds a connection is never turned away and keeps it for 9 s each time. Now one refusal speaks for the hosts of that kind, for ten seconds for each relay of the fleet, as each refusal reaches one of them. The rule of one connection at a time stays with the host itself.

--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -84,6 +84,10 @@
             return target.listed().route();
         }
 
+        private String kind() {
+            return target.listed().kind();
+        }
+
         private boolean isListed() {
             return target.listed().availability() == Policy.Availability.LISTED;
         }
@@ -112,6 +116,9 @@
     private int mostConnections;
     private boolean retiring;
     private final Map<String, Policy.Kind> kinds = new HashMap<>();
+    private int fleetSize;
+    /** Until when connections to hosts of a kind are let go for others. */
+    private final Map<String, Long> sharedUntil = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<Integer, Wait> waits = new HashMap<>();
     /** Idle connections of all hosts, the one that has stood longest first. */
@@ -140,6 +147,7 @@
         idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
         kinds.clear();
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
+        fleetSize = config.settings().fleetSize();
         long connectTimeout = config.settings().limits().connectTimeout();
         bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
     }
@@ -340,16 +348,29 @@
         } else {
             host.idle.addLast(connection);
             idle.add(connection);
-            connection.retireAfter(isScarce(host) ? Math.min(SCARCE_REST, keepFor()) : keepFor());
+            connection.retireAfter(isShared(host) ? Math.min(SCARCE_REST, keepFor()) : keepFor());
         }
     }
 
     /**
      * A host has as many connections as it takes. Guards against relays that keep theirs idle, and never learn of it,
      * while others are turned away again and again: where they are scarce, each is let go once no call waits for it.
+     * How many a host takes goes by its kind, and a host that is full tells one relay of the whole fleet: so one
+     * speaks for all of its kind, and for as long as it takes until each relay has been told once. It harms where a
+     * kind's hosts are crowded for once: calls to them go on new connections for a while.
      */
     void crowded(Host host) {
-        host.scarceUntil = clock.micros() + SCARCE;
+        long now = clock.micros();
+        host.scarceUntil = now + SCARCE;
+        if (sharedUntil.put(host.kind(), now + SCARCE * fleetSize) == null) {
+            Log.line("connections to hosts of kind " + host.kind() + " are scarce and let go for others");
+        }
+        idle.stream().filter(connection -> connection.host().kind().equals(host.kind()))
+                .forEach(connection -> connection.retireAfter(SCARCE_REST));
+    }
+
+    private boolean isShared(Host host) {
+        return clock.micros() < sharedUntil.getOrDefault(host.kind(), 0L);
     }
 
     private boolean isScarce(Host host) {
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -309,6 +309,24 @@
         assertEquals(3, host.connections.size(), "the one of b carried c too");
     }
 
+    @Test
+    void connectionsToAllHostsOfAKindAreLetGoOnceOneOfItHasNoMore() throws IOException, InterruptedException {
+        try (StubPeer other = StubPeer.always(status(200))) {
+            connectionsAreScarce(request -> status(200));
+            relay.knows("h2", 9, "one", other).start();
+            assertEquals(202, relay.handIn("kept", "safe", 9));
+            await(() -> other.hasCallFor("kept"));
+            assertEquals(202, relay.handIn("a", "safe", 7));
+            await(() -> host.requests.size() == 2);
+            // Called so often that a connection kept for the settings' span would never fall idle for it.
+            for (int i = 0; i < 50 && other.connections.size() < 3; i++) {
+                assertEquals(202, relay.handIn("b" + i, "safe", 9));
+                Thread.sleep(100);
+            }
+            assertEquals(3, other.connections.size(), "each call came on a connection of its own");
+        }
+    }
+
     @Test
     void repeatThatGetsAConnectionAfterItsWindowIsNotSent() throws IOException {
         CountDownLatch waiting = new CountDownLatch(1);
