Raise a pace by a small part at most for each single serve

The busiest destination swung between 200 calls a second, 60 to 80 refusals, and 75 serves.

Ruled out: the endpoints (they serve 28 to 32 a second whenever no more come), slots (one or two of five out), connections (FULL on kept ones and new ones alike).

At fault: Logic.regrow: the step of one serve is a span of up to 2 s, doubling each second up to what was refused, then a tenth a second times one more for each second told; a relay that calls each 5 s is back at four times its pace after one serve. Logic.cut: the first refusal leaves LEAST_PACE over FIRST_SENDERS (12), 25 calls a second of 100 relays. The settings name the fleet's size.

Now one serve raises a pace by 5% at most, by 25% up to what was refused.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -28,6 +28,8 @@
     private static final double GROWTH_GAIN = 1; // more by each second: what was cut may have room again
     private static final double PACE_REGAIN = 1; // doubling each second, to what was refused last
     private static final double REGAINED = 0.8; // of that: the rest is for slow growth to find
+    private static final double SERVE_GROWTH = 0.05; // at most by one serve
+    private static final double SERVE_REGAIN = 0.25; // likewise, to what was refused last
     private static final double PACE_CUT = 0.5; // at most, where next to nothing is served
     private static final double LEAST_PACE = 3; // of all relays, where no limit is known
     private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
@@ -485,15 +487,21 @@
         return Math.pow(1 + PACE_GROWTH, Math.min(GROWTH_SPAN, now - since) / (double) SECOND);
     }
 
-    /** Quickly to what went before the last cut, then slowly, and less so the longer nothing is refused. */
+    /**
+     * Quickly to what went before the last cut, then slowly, and less so the longer nothing is refused.
+     * Guards, by a bound for each serve, against a fleet of relays that call seldom: each would double its
+     * pace by one, and all would go above the limit together, again and again. Harms where a limit is back.
+     */
     private void regrow(Group group) {
         double span = Math.min(GROWTH_SPAN, now - group.grownAt) / (double) SECOND;
         double told = Math.min(now - group.cutAt, (double) group.servedSinceCut * GROWTH_SPAN) / SECOND;
         double known = group.refusedPace * REGAINED;
         if (group.pace < known) {
-            group.pace = Math.min(known, group.pace * Math.pow(1 + PACE_REGAIN, span));
+            double factor = Math.min(1 + SERVE_REGAIN, Math.pow(1 + PACE_REGAIN, span));
+            group.pace = Math.min(known, group.pace * factor);
         } else {
-            group.pace *= Math.pow(1 + PACE_GROWTH, span * (1 + told * GROWTH_GAIN));
+            double factor = Math.pow(1 + PACE_GROWTH, span * (1 + told * GROWTH_GAIN));
+            group.pace *= Math.min(1 + SERVE_GROWTH, factor);
         }
         group.grownAt = now;
     }
@@ -586,14 +594,13 @@
         double limit = limit(group);
         double went = Math.min(group.pace, lately(group));
         double served = group.servedSinceCut / (double) (group.servedSinceCut + group.refusedSinceCut);
-        double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
-        boolean first = group.pace == Double.POSITIVE_INFINITY;
         if (limit > 0) {
+            boolean first = group.pace == Double.POSITIVE_INFINITY;
+            double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
             group.pace = first ? Math.max(limit / senders, rate(group.served) / 2)
                     : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
         } else {
-            double least = LEAST_PACE / (first ? senders : settings.fleetSize());
-            group.pace = Math.max(least, went * Math.max(PACE_CUT, served));
+            group.pace = Math.max(LEAST_PACE / settings.fleetSize(), went * Math.max(PACE_CUT, served));
         }
         // Guards against a row of refusals after which nothing tells any more what had been served before it.
         group.refusedPace = group.servedSinceCut > 0 ? went : Math.max(went, group.refusedPace);
