Let large fleets fetch discovery's list instead of watching it

Ruled out: relays without CPU (the figures' lines come every 2.00 s), broken connections (status 503, not 0).

At fault: Discovery.answered, which asks again 250 to 750 ms after news though a watch binds for 200 ms after its answer, and one watch a relay, all woken by each change, at a service that takes about 40 ms a call. Where the fleet's turns do not fit the grace of a drain, each relay now fetches the whole list from time to time.

--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -44,8 +44,8 @@
         state = new StateFolder(config.state());
         journal = new Journal(state.own(), config.diskBytes());
         engine = new Engine(loop, clock, config, journal, Logic::new);
-        discovery = new Discovery(loop, config.discovery(), config.known().isEmpty() ? -1 : config.knownVersion(),
-                config.settings().seed(), engine);
+        discovery = new Discovery(loop, config.discovery(), config.settings(),
+                config.known().isEmpty() ? -1 : config.knownVersion(), engine);
         pulse = new Pulse(loop, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
         successor = new SuccessorLink(loop, this);
@@ -172,7 +172,7 @@
             Log.line("new settings, " + next.settings().classes().size() + " classes; discovery is at "
                     + next.discovery());
             engine.retune(next);
-            discovery.moveTo(next.discovery());
+            discovery.moveTo(next.discovery(), next.settings());
         });
     }
 
--- a/src/test/java/pipitstage/relay/DiscoveryTest.java
+++ b/src/test/java/pipitstage/relay/DiscoveryTest.java
@@ -51,4 +51,56 @@
         assertEquals(202, relay.handIn("a", "safe", 7));
         await(() -> host.hasCallFor("a"));
     }
+
+    /** A relay without a list of its own, so that it asks at once, in a fleet of such a size. */
+    private RelayProcess inAFleetOf(int size, String rules) {
+        return new RelayProcess(folder, discovery).configured(text -> text.replace("\"fleet-size\":1,",
+                "\"fleet-size\":" + size + ",").replace("\"contract\":{", "\"contract\":{" + rules));
+    }
+
+    private void news() {
+        answerWatches(StubPeer.answer(200, list(2, true, target("h1", 7, "one", "in_service", host.address()))));
+    }
+
+    @Test
+    void relayOfALargeFleetWatchesNothingAndFetchesTheListFromTimeToTime() throws IOException {
+        news();
+        try (RelayProcess one = inAFleetOf(100, "\"must-ask-in-s\":10,")) {
+            one.start();
+            await(() -> discovery.count("GET /api/targets ") == 2);
+            long pause = discovery.requests.get(1).at() - discovery.requests.get(0).at();
+            assertTrue(pause >= TimeUnit.SECONDS.toNanos(2), "asked again in ns: " + pause);
+            assertEquals(0, discovery.count("GET /api/targets?"), "what follows a watch's answer counts as told");
+            assertEquals(1, one.log().split("discovery: version 2", -1).length - 1, one.log());
+        }
+    }
+
+    @Test
+    void relayOfTheLargestFleetAsksWithinTheSpanOfTheRule() throws IOException {
+        news();
+        try (RelayProcess one = inAFleetOf(1_000_000, "\"must-ask-in-s\":4,")) {
+            one.start();
+            await(() -> discovery.count("GET /api/targets ") == 3);
+        }
+    }
+
+    @Test
+    void newAddressIsAskedSoonWhateverPauseIsRunning() throws IOException {
+        String list = list(2, true, target("h1", 7, "one", "in_service", host.address()));
+        // So slow an answer that many pauses for it follow, 22 s and more.
+        discovery.answer(request -> {
+            long from = System.nanoTime();
+            await(() -> System.nanoTime() - from > 2_000_000_000L);
+            return StubPeer.answer(200, list);
+        });
+        try (RelayProcess one = inAFleetOf(100, "\"must-ask-in-s\":100,");
+                StubPeer next = RelayProcess.quietDiscovery()) {
+            one.start();
+            await(() -> one.log().contains("discovery: version 2"));
+            long told = System.nanoTime();
+            one.moveDiscovery(next);
+            await(() -> next.count("GET /api/targets ") == 1);
+            assertTrue(System.nanoTime() - told < TimeUnit.SECONDS.toNanos(20));
+        }
+    }
 }
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -88,6 +88,12 @@
         return this;
     }
 
+    /** Changes what it is told at its next start. */
+    RelayProcess configured(UnaryOperator<String> next) {
+        edit = next;
+        return this;
+    }
+
     /** How many descriptors the system lets the relay have, whatever its configuration says. */
     RelayProcess descriptors(int most) {
         descriptors = most;
@@ -123,8 +129,7 @@
 
     /** The configuration is another one from now on; the relay hears of it by SIGHUP. */
     void reconfigure(UnaryOperator<String> next) throws IOException {
-        edit = next;
-        configure();
+        configured(next).configure();
         hangUp();
     }
 
