Leave at a planned end only after all who came are answered

Seen by reading, then in a test: of 90 clients that connect while the relay has no CPU, 3.5 s after SIGTERM, some get a reset in place of an answer ("Connection reset").

At fault: Relay.endWhenDone, which accepted who still waited only after it had found that nobody was being answered, and then left at once; and what lay unread on open connections was not read before it left late.

It now stops listening and reads first, and leaves when those who came have their answer.

--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -156,6 +156,9 @@
 
     /** Stops listening once all that has come is accepted: what still waited would be reset. */
     void stopListening() {
+        if (hasStoppedListening()) {
+            return;
+        }
         ((AbstractNioChannel) listener).unsafe().read();
         if (leftSince == Long.MAX_VALUE) {
             listener.close();
@@ -164,6 +167,17 @@
         }
     }
 
+    /** True where nobody can come any more, and all who have are among the connections. */
+    boolean hasStoppedListening() {
+        return !listener.isOpen();
+    }
+
+    /** Reads what clients have sent so far, without waiting for the loop's next pass. */
+    void readNow() {
+        List.copyOf(connections).stream().filter(connection -> !connection.isEnding())
+                .forEach(ClientConnection::readNow);
+    }
+
     /** So many descriptors are another process's for now; 0 where none are. */
     void yield(int descriptors) {
         mostConnections = Math.max(1, Math.max(mostEver / 4, mostEver - descriptors));
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -232,8 +232,12 @@
         boolean late = System.nanoTime() >= stopAt;
         // Guards against leaving to be adopted what is just being passed on: that comes all at once.
         boolean done = engine.isIdle() || !successor.isCommitted() && engine.isFrozen() && engine.isQuiet();
-        if (clients.isDeserted() && done || late && !clients.isAnswering()) {
+        if (late || done && clients.isDeserted()) {
+            // Guards against ending with clients who have come since the loop looked, and have no answer yet.
             clients.stopListening();
+            clients.readNow();
+        }
+        if (clients.hasStoppedListening() && (done && clients.isDeserted() || late && !clients.isAnswering())) {
             stopped.countDown();
         } else {
             loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -8,6 +8,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import pipitstage.Policy;
@@ -109,6 +111,34 @@
         assertEquals(1, host.requests.size());
     }
 
+    @Test
+    void plannedEndAnswersAllWhoCameWhileTheRelayHadNoCpu() throws IOException, InterruptedException {
+        relay.start();
+        List<Socket> crowd = new ArrayList<>();
+        try (Socket unfinished = relay.connect()) {
+            // Keeps the relay from ending before it is paused.
+            unfinished.getOutputStream().write("POST /api HTTP/1.1\r\n".getBytes());
+            relay.terminate();
+            await(() -> relay.log().contains("clients are sent away"));
+            relay.pause();
+            for (int i = 0; i < 90; i++) {
+                Socket socket = relay.connect();
+                crowd.add(socket);
+                socket.getOutputStream().write(RelayProcess.message("c" + i, "safe", 7, 20_000, "hello").getBytes());
+            }
+            Thread.sleep(3500);
+            relay.goOn();
+            for (Socket socket : crowd) {
+                assertTrue(RelayProcess.exchange(socket, "").status() > 0, "a whole request got no answer");
+            }
+        } finally {
+            for (Socket socket : crowd) {
+                socket.close();
+            }
+        }
+        assertTrue(relay.hasEnded());
+    }
+
     @Test
     void plannedEndAnswersWhatComesAndLeavesTheRestToTheJournal() throws IOException, InterruptedException {
         relay.start();
