--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -117,9 +117,7 @@
         Journal reader = new Journal();
         ByteBuffer all = ByteBuffer.wrap(records);
         for (byte[] payload = next(all); payload != null; payload = next(all)) {
-            if (!reader.replay(payload)) {
-                break;
-            }
+            reader.replay(payload);
         }
         if (all.hasRemaining() || reader.open.size() != 1) {
             throw new IOException("these are not the records of a message");
@@ -404,13 +402,17 @@
             continue;
         }
         all.flip();
-        byte[] payload = next(all);
-        while (payload != null && replay(payload)) {
-            size = all.position();
-            payload = next(all);
+        String damage = "a torn tail";
+        try {
+            for (byte[] payload = next(all); payload != null; payload = next(all)) {
+                replay(payload);
+                size = all.position();
+            }
+        } catch (IOException e) {
+            damage = "what follows a record that can't be read (" + e.getMessage() + ")";
         }
         if (size < segment.size()) {
-            Log.line("journal: a torn tail of " + (segment.size() - size) + " bytes is cut off");
+            Log.line("journal: " + damage + " is cut off, " + (segment.size() - size) + " bytes");
             segment.truncate(size);
         }
     }
@@ -432,7 +434,7 @@
         return (int) crc.getValue() == expected ? payload : null;
     }
 
-    private boolean replay(byte[] payload) {
+    private void replay(byte[] payload) throws IOException {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
             int type = in.readByte();
             long number = in.readLong();
@@ -440,27 +442,25 @@
                 Message.Content content = readContent(in);
                 Policy.Terms terms = type == ACCEPTED ? null : readTerms(in, content.requestClass());
                 add(new Message(number, content, terms), payload.length + HEAD);
-                return true;
+                return;
             }
             lastNumber = Math.max(lastNumber, number);
             Open entry = open.get(number);
             if (entry == null) {
-                return true;
+                return;
             }
             entry.bytes += payload.length + HEAD;
             openBytes += payload.length + HEAD;
             Message message = entry.message;
             switch (type) {
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
-                case RESULT -> message.attempts.get(in.readInt()).result = Policy.Result.valueOf(in.readUTF());
+                case RESULT -> replayResult(message, in.readInt(), Policy.Result.valueOf(in.readUTF()));
                 case DECIDED -> message.end = new Message.End(in.readBoolean(), in.readLong());
                 case DONE -> forget(number);
                 default -> throw new IOException("unknown record " + type);
             }
-            return true;
-        } catch (IOException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            Log.line("journal: a record can't be read: " + e.getMessage());
-            return false;
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new IOException(e);
         }
     }
 
@@ -475,6 +475,13 @@
         message.addAttempt(route, sentAt);
     }
 
+    /** Guards against the result of an attempt that found no room: taken for damage, it would end the replay. */
+    private static void replayResult(Message message, int number, Policy.Result result) {
+        if (number < message.attempts.size()) {
+            message.attempts.get(number).result = result;
+        }
+    }
+
     private static Message.Content readContent(DataInputStream in) throws IOException {
         String callId = in.readUTF();
         String requestClass = in.readUTF();
--- a/src/test/java/pipitstage/relay/JournalTest.java
+++ b/src/test/java/pipitstage/relay/JournalTest.java
@@ -154,6 +154,19 @@
         assertEquals("r1", open.attempts.get(1).route);
     }
 
+    @Test
+    void resultOfAnAttemptThatCouldNotBeRecordedCutsNothingOff() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            Message message = message(1, 10);
+            journal.accept(message);
+            Message.Attempt lost = message.addAttempt("lost", 1);
+            lost.result = Result.NOT_SENT;
+            journal.result(lost);
+            journal.accept(message(2, 10));
+        }
+        assertEquals(List.of(1L, 2L), reopened().stream().map(m -> m.number).toList());
+    }
+
     @Test
     void unfinishedRewriteIsPassedOver() throws IOException {
         try (Journal journal = new Journal(folder, DISK)) {
