Keep what was learned of a thousand endpoints, within the disk's plan

Seen in CapacityTest with 1,024 endpoints known at the start, in one change, in one whole list and in new settings: all are taken but for the lasting folder, where no file "health" is ever written.

--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -96,7 +96,7 @@
         if (!known.isEmpty()) {
             list(Policy.ListKind.CACHED, knownVersion, known);
         }
-        byte[] learned = Health.read(health, clock.micros());
+        byte[] learned = Health.read(health, clock.micros(), diskBytes);
         if (learned != null) {
             add(new Policy.Inherited(learned, 0));
             add(new Policy.AloneAgain());
@@ -108,7 +108,7 @@
     private void keepHealth(Path health) {
         // Guards against what this process no longer learns: another one decides for it.
         if (!frozen) {
-            Health.write(health, policy.memory(), clock.micros());
+            journal.leave(Health.write(health, policy.memory(), clock.micros(), diskBytes));
         }
     }
 
--- a/src/main/java/pipitstage/relay/Health.java
+++ b/src/main/java/pipitstage/relay/Health.java
@@ -15,16 +15,22 @@
     /** What is older tells nothing of now: outages and lowered limits last seconds. */
     static final long OLDEST = 15_000_000;
     private static final int VERSION = 1;
-    private static final int LARGEST = 256 << 10;
+    /** Of the disk, for the file that stands; for a moment the next one stands beside it. */
+    private static final int LARGEST_SHARE = 8;
+    private static final int BLOCK = 512;
     private static final int HEAD = Integer.BYTES + Long.BYTES + Integer.BYTES;
     private static final String FILE = "health";
 
     private Health() { }
 
-    /** Replaces the file; an error costs the next process what was learned, nothing else. */
-    static void write(Path folder, byte[] memory, long now) {
-        if (memory.length > LARGEST) {
-            return;
+    /**
+     * Replaces the file and tells how much of the disk it wants; an error costs the next process what was learned,
+     * nothing else.
+     */
+    static long write(Path folder, byte[] memory, long now, long disk) {
+        if (HEAD + memory.length > disk / LARGEST_SHARE) {
+            Log.line("health: there is no room for " + memory.length + " bytes");
+            return 0;
         }
         byte[] file = ByteBuffer.allocate(HEAD + memory.length).putInt(VERSION).putLong(now).putInt(sum(memory, now))
                 .put(memory).array();
@@ -35,16 +41,17 @@
         } catch (IOException e) {
             Log.line("health: can't be written: " + e.getMessage());
         }
+        return 2L * (file.length + BLOCK);
     }
 
     /** What the last process has learned; null, and one line for staff, where nothing of it can be relied on. */
-    static byte[] read(Path folder, long now) {
+    static byte[] read(Path folder, long now, long disk) {
         try {
             Path path = folder.resolve(FILE);
             if (!Files.exists(path)) {
                 return passOver("there is no file");
             }
-            if (Files.size(path) > HEAD + LARGEST) {
+            if (Files.size(path) > disk / LARGEST_SHARE) {
                 return passOver("the file is too large");
             }
             ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -63,7 +63,9 @@
     private final Path folder;
     private final long wholeDisk;
     /** What of it this process may plan with: another may have a part of its own meanwhile. */
-    private long disk;
+    private long part;
+    /** What of that part other files take. */
+    private long taken;
     private boolean rewrites = true;
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private FileChannel segment;
@@ -78,7 +80,7 @@
     /** Opens the journal of a folder and replays it; a torn tail is cut off. */
     Journal(Path folder, long disk) throws IOException {
         this.folder = folder;
-        this.disk = disk;
+        part = disk;
         wholeDisk = disk;
         Files.createDirectories(folder);
         Files.deleteIfExists(folder.resolve(UNFINISHED));
@@ -150,16 +152,25 @@
      * one that is about to leave needs no room for a rewrite.
      */
     void share(boolean leaving) {
-        disk = leaving ? disk : wholeDisk / 2;
+        part = leaving ? part : wholeDisk / 2;
         rewrites = !leaving;
     }
 
     /** The whole disk is this process's own again. */
     void alone() {
-        disk = wholeDisk;
+        part = wholeDisk;
         rewrites = true;
     }
 
+    /** Leaves so many bytes of the disk to other files from now on. */
+    void leave(long bytes) {
+        taken = bytes;
+    }
+
+    private long disk() {
+        return part - taken;
+    }
+
     /** Records a message that another process has let go of, with all that is known of it. */
     boolean adopt(Message message) {
         byte[] records = pack(message);
@@ -182,7 +193,7 @@
     /** Records that a message is taken on; false where there is no room or the disk fails. */
     boolean accept(Message message) {
         byte[] record = record(accepted(message));
-        if (openBytes + record.length > LARGEST_OPEN * disk || !append(record, LARGEST_SEGMENT)) {
+        if (openBytes + record.length > LARGEST_OPEN * disk() || !append(record, LARGEST_SEGMENT)) {
             return false;
         }
         add(message, record.length);
@@ -213,7 +224,7 @@
         boolean known = open.containsKey(message.number);
         forget(message.number);
         // Guards against a full disk that would bring a finished message back: a rewrite leaves it out.
-        boolean wanted = known && !noted || size - openBytes > LARGEST_FINISHED * disk;
+        boolean wanted = known && !noted || size - openBytes > LARGEST_FINISHED * disk();
         if (wanted && rewrites && System.nanoTime() - nextRewrite >= 0) {
             rewrite();
         }
@@ -252,7 +263,7 @@
 
     /** Appends a record whole or, where the disk is full or fails, not at all. */
     private boolean append(byte[] record, double share) {
-        if (broken || size + record.length > share * disk) {
+        if (broken || size + record.length > share * disk()) {
             return false;
         }
         try {
--- a/src/test/java/pipitstage/relay/HealthTest.java
+++ b/src/test/java/pipitstage/relay/HealthTest.java
@@ -15,24 +15,25 @@
 /** What of the routes' health outlasts a kill. */
 class HealthTest extends RelayTestBase {
     private static final long NOW = 1_000_000_000;
+    private static final long DISK = 3 << 20;
     private static final byte[] LEARNED = {1, 2, 3};
 
     private Path written() throws IOException {
         prepare(RelayProcess.quietDiscovery(), StubPeer.always(StubPeer.CLOSE));
-        Health.write(folder, LEARNED, NOW);
+        Health.write(folder, LEARNED, NOW, DISK);
         return folder.resolve("health");
     }
 
     @Test
     void whatWasWrittenIsRead() throws IOException {
         written();
-        assertArrayEquals(LEARNED, Health.read(folder, NOW + Health.OLDEST));
+        assertArrayEquals(LEARNED, Health.read(folder, NOW + Health.OLDEST, DISK));
     }
 
     @Test
     void missingFileIsPassedOver() throws IOException {
         Files.delete(written());
-        assertNull(Health.read(folder, NOW));
+        assertNull(Health.read(folder, NOW, DISK));
     }
 
     @Test
@@ -41,7 +42,7 @@
         byte[] whole = Files.readAllBytes(file);
         for (int length = 0; length < whole.length; length++) {
             Files.write(file, Arrays.copyOf(whole, length));
-            assertNull(Health.read(folder, NOW), "of " + length + " bytes");
+            assertNull(Health.read(folder, NOW, DISK), "of " + length + " bytes");
         }
     }
 
@@ -49,14 +50,14 @@
     void fileOfAnotherVersionIsPassedOver() throws IOException {
         Path file = written();
         Files.write(file, ByteBuffer.wrap(Files.readAllBytes(file)).putInt(0, 9).array());
-        assertNull(Health.read(folder, NOW));
+        assertNull(Health.read(folder, NOW, DISK));
     }
 
     @Test
     void fileThatIsTooOldOrOfTheFutureIsPassedOver() throws IOException {
         written();
-        assertNull(Health.read(folder, NOW + Health.OLDEST + 1));
-        assertNull(Health.read(folder, NOW - 1));
+        assertNull(Health.read(folder, NOW + Health.OLDEST + 1, DISK));
+        assertNull(Health.read(folder, NOW - 1, DISK));
     }
 
     @Test
--- a/src/test/java/pipitstage/relay/JournalTest.java
+++ b/src/test/java/pipitstage/relay/JournalTest.java
@@ -141,6 +141,18 @@
         assertEquals(held.stream().map(m -> m.number).toList(), reopened().stream().map(m -> m.number).toList());
     }
 
+    @Test
+    void otherFilesAreLeftTheirRoom() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            journal.leave(DISK / 2);
+            for (int number = 1; number <= 100; number++) {
+                journal.accept(message(number, 64 << 10));
+            }
+        }
+        assertTrue(used() < 0.5 * DISK / 2, "on disk: " + used());
+        assertTrue(reopened().size() > 1);
+    }
+
     @Test
     void attemptThatCouldNotBeRecordedLeavesTheOthersTheirNumbers() throws IOException {
         try (Journal journal = new Journal(folder, DISK)) {
