Pace list fetches by their answers; trust proven routes while a new list is due

Ruled out: a fixed length of a call (90 ms with 96 relays, 250 ms with 40: discovery bears about one call a relay in ten seconds either way), and silence (all failures were 503 after about 220 ms).

At fault: Discovery.fetchPause, capped at 6.5 s; moveTo and answered, whose pauses grow to 4.8 s under any span; start, which scatters by a guessed length. Nothing kept a relay that hears late from a drained endpoint: the module now gets ListDue and leaves, from 4.5 s after the signal until the list comes, routes that have served nothing sent since.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -106,6 +106,9 @@
     private int elsewhere;
     private long wakeAt = Long.MAX_VALUE;
     private boolean asked;
+    /** Since when there is news that was not heard, and from when on it counts as told. */
+    private long listSince;
+    private long listDueAt = Long.MAX_VALUE;
 
     /** A module that starts knowing only its settings. */
     public Logic(Settings settings) {
@@ -165,6 +168,9 @@
             timer(e.name());
         } else if (event instanceof RouteList e) {
             list(e);
+        } else if (event instanceof ListDue e) {
+            listSince = e.since();
+            listDueAt = e.at();
         } else if (event instanceof ProbeDone e) {
             probed(e);
         } else if (event instanceof Retuned e) {
@@ -462,6 +468,7 @@
     private void served(Call call, long elapsed) {
         Route route = call.route;
         Group group = route.group;
+        route.provenAt = Math.max(route.provenAt, call.sentAt);
         route.errorRate *= 1 - WEIGHT;
         route.response = route.response == 0 ? elapsed
                 : route.response + WEIGHT * (elapsed - route.response);
@@ -791,10 +798,19 @@
         return group.calls >= (int) Math.ceil(slots * part);
     }
 
+    /** Guards against a drain that counts as told unheard: what has served since does not drain. */
+    private boolean isListed(Route route) {
+        return route.listed && now < leavesUntil(route);
+    }
+
+    private long leavesUntil(Route route) {
+        return route.provenAt >= listSince ? Long.MAX_VALUE : listDueAt;
+    }
+
     private boolean usable(Route route) {
         Group group = route.group;
         openIfMute(route);
-        return route.listed && now >= group.waitUntil && now >= route.crowdedUntil && mayGo(group)
+        return isListed(route) && now >= group.waitUntil && now >= route.crowdedUntil && mayGo(group)
                 && route.circuit.state == CircuitState.CLOSED && group.circuit.state == CircuitState.CLOSED
                 && !(route.out.size() >= 2 && mute(route, 0.5)) && !crowded(group, route);
     }
@@ -1069,7 +1085,7 @@
             // Guards against a group that is tested again and again by its one dead route.
             boolean better = whole && route.group.routes.stream()
                     .anyMatch(other -> other.listed && other.circuit.run < route.circuit.run);
-            if (route.listed && !better && testable(circuit) && now >= route.group.waitUntil
+            if (isListed(route) && !better && testable(circuit) && now >= route.group.waitUntil
                     && out.size() < slots()) {
                 sendTest(destination, route, circuit);
             }
@@ -1125,7 +1141,7 @@
 
     private void send(Request request, Call call) {
         unhold(request);
-        long until = repeatableUntil(request);
+        long until = Math.min(repeatableUntil(request), leavesUntil(call.route));
         request.attempts.add(new Attempt(call));
         request.out++;
         call.pending++;
@@ -1152,6 +1168,7 @@
             actions.remind(ASK, spread(ASK_AGAIN));
             return;
         }
+        listDueAt = Long.MAX_VALUE;
         if (e.kind() != ListKind.CHANGES) {
             routes.values().forEach(route -> {
                 route.listed = false;
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -149,6 +149,12 @@
     /** News of the route list. */
     record RouteList(ListKind kind, long version, List<Listed> entries) implements Event { }
 
+    /**
+     * News that has not come counts as told from a time on. A route that serves what was sent since the news was
+     * there to tell is no part of it.
+     */
+    record ListDue(long since, long at) implements Event { }
+
     /** A probe ended; {@code toldWait} is 0 where none was told. */
     record ProbeDone(String route, Result result, long toldWait, long elapsed, LimitReport report)
             implements Event { }
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -64,6 +64,8 @@
         double errorRate;
         double response;
         long answeredAt;
+        /** When the latest call left that it has served. */
+        long provenAt;
         /** How often in a row its connections were found taken, and until when it is left to others for that. */
         int crowded;
         long crowdedUntil;
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -38,34 +38,40 @@
     /** After a failure, twice as long after each further one; far below the span in which a relay has to ask. */
     private static final long PAUSE_MS = 400;
     private static final long LONGEST_PAUSE_MS = 3200;
+    /** What the new address has to tell counts as told 4 s after the signal: there is time for several calls by then. */
+    private static final long MOVED_TOLD_MS = 4000;
+    private static final long LONGEST_MOVED_PAUSE_MS = 800;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
     /** Guards against a fleet that a change wakes and that all asks again at once; a release makes many changes. */
     private static final long AFTER_NEWS_MS = 500;
     /** What is known at the start stands until then; many relays may start together. */
     private static final long FIRST_MS = 500;
-    /** About what one call takes discovery: how long a fleet takes to be answered goes by it. */
+    /** What one call takes discovery at the least: whether a fleet is answered within a span goes by it. */
     private static final long TURN_MS = 40;
     /** Between two fetches of the whole list: longer where answers take long, as others wait for theirs then. */
     private static final long FETCH_PAUSE_MS = 3000;
     private static final int PAUSES_AN_ANSWER = 15;
-    /** Of the span in which a relay has to ask; pauses are up to a quarter longer, and an answer takes a while. */
-    private static final double LONGEST_FETCH_PAUSE = 0.65;
-    /** What a new address has to tell counts as told 4 s after the signal: there is time for a second call and a third. */
-    private static final long MOVED_MS = 1500;
+    /** Of the span in which a relay has to ask, from one call to the next. */
+    private static final double LONGEST_ROUND = 0.95;
+    private static final long FIRST_AFTER_MOVE_MS = 1500;
 
     /** Takes in what discovery tells. */
     interface Listener {
         void list(ListKind kind, long version, List<Target> targets);
+
+        /** What has to be told now, and is not heard, counts as told in a while, in microseconds. */
+        void listDue(long in);
     }
 
     private final EventLoop loop;
     private final AgentClient agent;
     private final Listener listener;
-    /** In which each relay of the fleet has one call answered, or asks at the least. */
-    private long round;
     private boolean watches;
-    private long longestFetchPause;
+    /** From one call to the next, where nobody watches. */
+    private long longestRound;
+    /** The list of a new address is still to come. */
+    private boolean moved;
     private Future<?> next;
     private long askedAt;
     private final SplittableRandom random;
@@ -89,7 +95,7 @@
     }
 
     void start() {
-        askIn(version < 0 ? 0 : upTo(Math.max(FIRST_MS, round)));
+        askIn(version < 0 ? 0 : upTo(watches ? FIRST_MS : longestRound * 4 / 5));
     }
 
     /**
@@ -101,15 +107,16 @@
         version = -1;
         agent.moveTo(address);
         failures = 0;
-        askIn(upTo(Math.min(MOVED_MS, round)));
+        moved = true;
+        listener.listDue(TimeUnit.MILLISECONDS.toMicros(MOVED_TOLD_MS));
+        askIn(upTo(watches ? 0 : FIRST_AFTER_MOVE_MS));
     }
 
     private void tune(Policy.Settings settings) {
         long turns = settings.fleetSize() * TURN_MS;
         watches = turns <= TimeUnit.MICROSECONDS.toMillis(settings.rules().drainGrace());
         long mustAsk = TimeUnit.MICROSECONDS.toMillis(settings.rules().mustAskIn());
-        longestFetchPause = mustAsk > 0 ? (long) (mustAsk * LONGEST_FETCH_PAUSE) : 2 * FETCH_PAUSE_MS;
-        round = Math.min(turns, longestFetchPause);
+        longestRound = mustAsk > 0 ? (long) (mustAsk * LONGEST_ROUND) : 2 * FETCH_PAUSE_MS;
     }
 
     private void ask() {
@@ -126,7 +133,8 @@
     private void answered(int status, String body) {
         long before = version;
         boolean taken = status == 200 && take(body);
-        long pause = !taken ? spread(Math.min(LONGEST_PAUSE_MS, PAUSE_MS << Math.min(failures, Byte.SIZE)))
+        moved &= !taken;
+        long pause = !taken ? failurePause()
                 : !watches ? fetchPause() : version > before ? spread(AFTER_NEWS_MS) : BREATH_MS;
         tell(taken, status);
         askIn(pause);
@@ -139,10 +147,16 @@
         next = loop.schedule(this::ask, ms, TimeUnit.MILLISECONDS);
     }
 
+    private long failurePause() {
+        long longest = moved ? LONGEST_MOVED_PAUSE_MS : LONGEST_PAUSE_MS;
+        return spread(Math.min(longest, PAUSE_MS << Math.min(failures, Byte.SIZE)));
+    }
+
     private long fetchPause() {
         long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedAt);
-        long pause = Math.min(longestFetchPause, Math.max(FETCH_PAUSE_MS, PAUSES_AN_ANSWER * took));
-        return pause * 3 / 4 + upTo(pause / 2);
+        long pause = Math.max(BREATH_MS, Math.min(longestRound - took,
+                Math.max(FETCH_PAUSE_MS, PAUSES_AN_ANSWER * took)));
+        return pause * 3 / 4 + upTo(pause / 4);
     }
 
     private long upTo(long span) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -528,6 +528,13 @@
         add(new Policy.RouteList(kind, version, targets.stream().map(Target::listed).toList()));
     }
 
+    /** Guards, by half of the grace, against a signal that was read late. */
+    @Override
+    public void listDue(long in) {
+        long now = clock.micros();
+        add(new Policy.ListDue(now, now + in + settings.rules().drainGrace() / 2));
+    }
+
     @Override
     public void cancel(long id, int attempt) {
         Message message = messages.get(id);
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -54,6 +54,22 @@
         assertEquals(List.of(2L), relay.refused);
     }
 
+    @Test
+    void routeThatMayDrainUnheardIsLeftUntilTheListComesUnlessItServes() {
+        Relay one = new Relay(Relay.settings()).list(route("c", 2, "apart", "east"), route("a", 1, "plain", "east"));
+        one.accept(1, "safe", 1).accept(2, "safe", 2).pass(MS);
+        one.round(new Policy.ListDue(one.now, one.now + 4 * S));
+        long due = one.now + 4 * S;
+        one.answer(1, Result.OK).answer(2, Result.OK).pass(S);
+        one.accept(3, "safe", 2).answer(3, Result.OK).accept(4, "safe", 2).answer(4, Result.OK).pass(4 * S);
+        assertEquals(List.of(Long.MAX_VALUE, Long.MAX_VALUE, due, Long.MAX_VALUE), one.untils);
+        one.accept(5, "safe", 1).accept(6, "safe", 2);
+        assertEquals(0, one.sends(5), "what this route served had been sent before there was news");
+        assertEquals(1, one.sends(6));
+        one.changes();
+        assertEquals(1, one.sends(5));
+    }
+
     @Test
     void threeFailuresOpenAndOneTestCloses() {
         openC();
--- a/src/test/java/pipitstage/relay/DiscoveryTest.java
+++ b/src/test/java/pipitstage/relay/DiscoveryTest.java
@@ -84,6 +84,19 @@
         }
     }
 
+    @Test
+    void newAddressThatFailsIsAskedOftenWhileItsNewsIsDue() throws IOException {
+        relay.start();
+        try (StubPeer next = StubPeer.always(StubPeer.status(503))) {
+            relay.moveDiscovery(next);
+            await(() -> next.count("GET /api/targets ") == 9);
+            long took = next.requests.get(8).at() - next.requests.get(0).at();
+            // Pauses that double up to 3.2 s, half more or less, would take 9.4 s at the least.
+            assertTrue(took < TimeUnit.MILLISECONDS.toNanos(9300), "nine calls in ns: " + took);
+            assertTrue(took > TimeUnit.MILLISECONDS.toNanos(3000), "nine calls in ns: " + took);
+        }
+    }
+
     @Test
     void newAddressIsAskedSoonWhateverPauseIsRunning() throws IOException {
         String list = list(2, true, target("h1", 7, "one", "in_service", host.address()));
