Let the module end what runs out of time while a relay ends or starts

At fault: Engine.freeze, which let no round run from 2.2 s after SIGTERM on, and the guard in Engine.watchEnd, which fires although no round has come to a message since it was resumed. The module now hears that the process ends, sends nothing more and goes on ending; the guard plays a round first. RestartTest fails without the mend ("it was never sent").

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -106,6 +106,7 @@
     private int elsewhere;
     private long wakeAt = Long.MAX_VALUE;
     private boolean asked;
+    private boolean ending;
     /** Since when there is news that was not heard, and from when on it counts as told. */
     private long listSince;
     private long listDueAt = Long.MAX_VALUE;
@@ -136,7 +137,9 @@
         }
         endOverdue();
         if (!events.stream().allMatch(Logic::onlyRestrains)) {
-            dispatch();
+            if (!ending) {
+                dispatch();
+            }
             arm();
         }
     }
@@ -171,6 +174,8 @@
         } else if (event instanceof ListDue e) {
             listSince = e.since();
             listDueAt = e.at();
+        } else if (event instanceof Ending) {
+            ending = true;
         } else if (event instanceof ProbeDone e) {
             probed(e);
         } else if (event instanceof Retuned e) {
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -155,6 +155,9 @@
      */
     record ListDue(long since, long at) implements Event { }
 
+    /** The process is about to end: nothing more is sent from now on, what runs out of time is ended still. */
+    record Ending() implements Event { }
+
     /** A probe ended; {@code toldWait} is 0 where none was told. */
     record ProbeDone(String route, Result result, long toldWait, long elapsed, LimitReport report)
             implements Event { }
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -52,7 +52,9 @@
     private int held;
     private int attemptsOut;
     private boolean roundDue;
+    /** Another process takes the decisions. */
     private boolean frozen;
+    private boolean ending;
     private SuccessorLink successor;
     private long listVersion = -1;
     private boolean ready;
@@ -261,12 +263,14 @@
      * Begins nothing new from now on: an attempt that the end of the process cuts off may have run, so a
      * message that may take effect only once would be lost by it. What is held waits in the journal.
      */
-    void freeze() {
-        frozen = true;
+    void beginNothing() {
+        ending = true;
+        add(new Policy.Ending());
     }
 
-    boolean isFrozen() {
-        return frozen;
+    /** True where nothing more begins here. */
+    boolean beginsNothing() {
+        return ending || frozen;
     }
 
     /** True where no attempt is out and no client waits for an answer. */
@@ -350,8 +354,12 @@
     private void watchEnd(Message message) {
         long delay = message.content.deadline() + LATEST_END - clock.micros();
         message.endWatch = loop.schedule(() -> {
-            Log.line("message " + message.content.callId() + " is overdue");
-            end(message.number, new Message.End(false, 0));
+            // Guards against failing what may be refused, only as no round has come to it for want of CPU.
+            round();
+            if (message.end == null && !message.over) {
+                Log.line("message " + message.content.callId() + " is overdue");
+                end(message.number, new Message.End(false, 0));
+            }
         }, Math.max(LATEST_END, delay), TimeUnit.MICROSECONDS);
     }
 
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -221,7 +221,7 @@
             stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
             empty();
         });
-        loop.schedule(engine::freeze, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(engine::beginNothing, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
         loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
             stopped.await();
@@ -233,7 +233,7 @@
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
         // Guards against leaving to be adopted what is just being passed on: that comes all at once.
-        boolean done = engine.isIdle() || !successor.isCommitted() && engine.isFrozen() && engine.isQuiet();
+        boolean done = engine.isIdle() || !successor.isCommitted() && engine.beginsNothing() && engine.isQuiet();
         if (late || done && clients.isDeserted(COME_AGAIN_MS)) {
             // Guards against ending with clients who have come since the loop looked, and have no answer yet.
             clients.stopListening();
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -70,6 +70,15 @@
         assertEquals(1, one.sends(5));
     }
 
+    @Test
+    void endingModuleSendsNothingAndRefusesWhatRunsOutOfTime() {
+        relay.accept(1, "safe", 1).round(new Policy.Ending()).accept(2, "once", 1);
+        relay.answer(1, Result.CONNECT_FAILED).pass(19 * S);
+        assertEquals(1, relay.sent.size());
+        relay.pass(2 * S);
+        assertEquals(List.of(1L, 2L), relay.refused);
+    }
+
     @Test
     void threeFailuresOpenAndOneTestCloses() {
         openC();
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -140,6 +140,25 @@
         assertTrue(relay.hasEnded());
     }
 
+    @Test
+    void messageWhoseTimeIsUpAsTheRelayEndsIsRefused() throws IOException, InterruptedException {
+        host.answer(request -> status(429, "X-Come-Back-Ms: 60000"));
+        relay.start();
+        assertEquals(202, relay.handIn("first", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        assertEquals(202, relay.handIn("waits", "unsafe", 7, 2600, "hello"));
+        relay.terminate();
+        Thread.sleep(1000);
+        try (Socket unfinished = relay.connect()) {
+            // Keeps the relay there for a while after its time for beginning anything is over.
+            unfinished.getOutputStream().write("POST /api HTTP/1.1\r\n".getBytes());
+            assertTrue(relay.hasEnded());
+        }
+        relay.start();
+        await(() -> relay.noticed("waits", "bounced") || relay.noticed("waits", "dead"));
+        assertFalse(relay.noticed("waits", "dead"), "it was never sent");
+    }
+
     @Test
     void plannedEndServesAClientThatComesAgainAsItsConnectionCloses() throws IOException, InterruptedException {
         boolean served = false;
