Open a silent watch anew before what it missed counts as told

Lines at fault: Discovery.WAIT_MS and PATIENCE_MS in ask(), failurePause() in answered().

Now a watch waits 2 to 3.5 s, its end may come 1.2 s late (25 watchers that end together are answered in a second), and the call after a silent one comes at once: 4.7 s at the most. Further silent calls have growing, scattered pauses. Not taken: holding unproven routes back until a list is heard, as for a move; it costs service while discovery is down.

--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -24,11 +24,13 @@
 import java.util.concurrent.TimeUnit;
 
 /** One kept connection to discovery's agent that carries one request at a time. */
-final class AgentClient {
+final class AgentClient implements Discovery.Agent {
+    /** In place of a status: no whole answer came in time; 0 where the connection ended. */
+    static final int SILENT = -1;
     private static final int LARGEST_ANSWER = 2 << 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
-    /** What became of a request; {@code status} is 0 where no answer came. */
+    /** What became of a request; {@code status} is 0 or {@link #SILENT} where no answer came. */
     interface Answer {
         void come(int status, String body);
     }
@@ -56,7 +58,8 @@
     }
 
     /** Sends a request; the answer, or the lack of one within the span, is told once and later. */
-    void request(HttpMethod method, String path, String body, long timeoutMs, Answer answer) {
+    @Override
+    public void request(HttpMethod method, String path, String body, long timeoutMs, Answer answer) {
         if (waiting != null) {
             throw new IllegalStateException("a request is out");
         }
@@ -83,7 +86,8 @@
     }
 
     /** Goes to another address from now on; a request that has no answer yet gets none. */
-    void moveTo(InetSocketAddress next) {
+    @Override
+    public void moveTo(InetSocketAddress next) {
         agent = next;
         Channel old = channel;
         channel = null;
@@ -103,8 +107,10 @@
 
     /** Guards against an agent that fell silent: its late answer must not be taken for the next one's. */
     private void giveUp() {
-        channel.close();
-        lost(channel);
+        Channel silent = channel;
+        channel = null;
+        silent.close();
+        finish(SILENT, "");
     }
 
     private void finish(int status, String body) {
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -26,10 +26,14 @@
  */
 final class Discovery {
     /**
-     * Guards against a discovery that falls silent: a watch that waits long would learn only after its end
-     * of what was told meanwhile. Shorter ones, of a whole fleet, leave discovery no time for news.
+     * Guards against a discovery that falls silent: what is missed counts as told 6 s after that, so a watch has to end,
+     * and to be opened anew and answered, within that span of its first moment. Shorter ones, of a whole fleet, leave
+     * discovery no time for news.
      */
-    private static final long WAIT_MS = 3000;
+    static final long SHORTEST_WAIT_MS = 2000;
+    static final long LONGEST_WAIT_MS = 3500;
+    /** How late the end of a watch may come: others that end in the same moment are answered before it. */
+    static final long LATE_MS = 1200;
     /**
      * Discovery serves one call after another and ends by itself those that it can't get to: one that is given up
      * before leaves its work there behind, and asking anew each time never comes to an answer.
@@ -65,7 +69,7 @@
     }
 
     private final EventLoop loop;
-    private final AgentClient agent;
+    private final Agent agent;
     private final Listener listener;
     private boolean watches;
     /** From one call to the next, where nobody watches. */
@@ -83,14 +87,20 @@
     private boolean heard;
     private int failures;
 
+    /** Who is asked. */
+    interface Agent {
+        void request(HttpMethod method, String path, String body, long timeoutMs, AgentClient.Answer answer);
+
+        void moveTo(InetSocketAddress next);
+    }
+
     /** Knows a version from before, or -1. */
-    Discovery(EventLoop loop, InetSocketAddress address, Policy.Settings settings, long knownVersion,
-            Listener listener) {
+    Discovery(EventLoop loop, Agent agent, Policy.Settings settings, long knownVersion, Listener listener) {
         this.loop = loop;
         this.listener = listener;
         version = knownVersion;
         random = new SplittableRandom(settings.seed());
-        agent = new AgentClient(loop, address);
+        this.agent = agent;
         tune(settings);
     }
 
@@ -114,7 +124,8 @@
 
     private void tune(Policy.Settings settings) {
         long turns = settings.fleetSize() * TURN_MS;
-        watches = turns <= TimeUnit.MICROSECONDS.toMillis(settings.rules().drainGrace());
+        long grace = TimeUnit.MICROSECONDS.toMillis(settings.rules().drainGrace());
+        watches = turns <= grace;
         long mustAsk = TimeUnit.MICROSECONDS.toMillis(settings.rules().mustAskIn());
         longestRound = mustAsk > 0 ? (long) (mustAsk * LONGEST_ROUND) : 2 * FETCH_PAUSE_MS;
     }
@@ -124,9 +135,9 @@
         if (version < 0 || whole || !watches) {
             agent.request(HttpMethod.GET, "/api/targets", "", PATIENCE_MS, this::answered);
         } else {
-            long wait = spread(WAIT_MS);
+            long wait = SHORTEST_WAIT_MS + upTo(LONGEST_WAIT_MS - SHORTEST_WAIT_MS);
             agent.request(HttpMethod.GET, "/api/targets?after=" + version + "&wait_ms=" + wait, "",
-                    wait + PATIENCE_MS, this::answered);
+                    wait + LATE_MS, this::answered);
         }
     }
 
@@ -134,7 +145,9 @@
         long before = version;
         boolean taken = status == 200 && take(body);
         moved &= !taken;
-        long pause = !taken ? failurePause()
+        // Guards against what a call that fell silent has missed, which counts as told soon: the first one after it need
+        // not wait, as discovery has not turned anything away.
+        long pause = !taken ? status == AgentClient.SILENT && failures == 0 ? BREATH_MS : failurePause()
                 : !watches ? fetchPause() : version > before ? spread(AFTER_NEWS_MS) : BREATH_MS;
         tell(taken, status);
         askIn(pause);
@@ -171,7 +184,7 @@
     /** Tells staff when the watch is lost and when it is back: the list is old meanwhile. */
     private void tell(boolean taken, int status) {
         if (!taken && failures++ == 0) {
-            Log.line("discovery: no list, status " + status);
+            Log.line("discovery: no list, " + (status == AgentClient.SILENT ? "the call fell silent" : "status " + status));
         } else if (taken && failures > 0) {
             Log.line("discovery: a list again after " + failures + " calls in vain");
             failures = 0;
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -46,7 +46,7 @@
         state = new StateFolder(config.state());
         journal = new Journal(state.own(), config.diskBytes());
         engine = new Engine(loop, clock, config, journal, Logic::new);
-        discovery = new Discovery(loop, config.discovery(), config.settings(),
+        discovery = new Discovery(loop, new AgentClient(loop, config.discovery()), config.settings(),
                 config.known().isEmpty() ? -1 : config.knownVersion(), engine);
         pulse = new Pulse(loop, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
--- /dev/null
+++ b/src/test/java/pipitstage/relay/SilentDiscoveryTest.java
@@ -0,0 +1,143 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pipitstage.Policy;
+import pipitstage.Policy.ListKind;
+
+/** When discovery is asked again, on a clock of the test's own: what a silent call misses counts as told 6 s after it. */
+class SilentDiscoveryTest {
+    private static final long TOLD_MS = 6000;
+    /** Or so long after the wait of a call that may wait, if that is later. */
+    private static final long TOLD_AFTER_WAIT_MS = 2000;
+    private static final Pattern WAIT = Pattern.compile("wait_ms=(\\d+)");
+
+    private record Call(long at, String path, long timeout, AgentClient.Answer answer) {
+        long toldBy() {
+            Matcher wait = WAIT.matcher(path);
+            return at + (wait.find() ? Math.max(TOLD_MS, Long.parseLong(wait.group(1)) + TOLD_AFTER_WAIT_MS) : TOLD_MS);
+        }
+    }
+
+    private final EmbeddedChannel time = new EmbeddedChannel();
+    private final List<Call> calls = new ArrayList<>();
+    private long now;
+
+    private final Discovery.Agent agent = new Discovery.Agent() {
+        @Override
+        public void request(HttpMethod method, String path, String body, long timeoutMs, AgentClient.Answer answer) {
+            calls.add(new Call(now, path, timeoutMs, answer));
+        }
+
+        @Override
+        public void moveTo(InetSocketAddress next) {
+            if (!calls.isEmpty()) {
+                last().answer().come(0, "");
+            }
+        }
+    };
+
+    private Discovery discovery(long seed, int fleet, long graceMs) {
+        time.freezeTime();
+        return new Discovery(time.eventLoop(), agent, settings(seed, fleet, graceMs), 1, new Discovery.Listener() {
+            @Override
+            public void list(ListKind kind, long version, List<Target> targets) { }
+
+            @Override
+            public void listDue(long in) { }
+        });
+    }
+
+    private Call last() {
+        return calls.get(calls.size() - 1);
+    }
+
+    private void pass(long millis) {
+        for (long end = now + millis; now < end; now++) {
+            time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            time.runScheduledPendingTasks();
+        }
+    }
+
+    /** Lets time pass until another call is made. */
+    private void passToNextCall() {
+        int before = calls.size();
+        while (calls.size() == before && now < 100_000) {
+            pass(1);
+        }
+    }
+
+    /** The last call gets no answer until it is given up. */
+    private void fallSilent() {
+        Call silent = last();
+        pass(silent.timeout());
+        silent.answer().come(AgentClient.SILENT, "");
+        passToNextCall();
+    }
+
+    private static String news(long version) {
+        return "{\n  \"rev\" : " + version + ",\n  \"all\" : false,\n  \"targets\" : [\n  ]\n}\n";
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 6, 25, 26, 120})
+    void callThatFallsSilentIsMadeAnewWellBeforeWhatItMissedCountsAsTold(int fleet) {
+        for (long seed = 0; seed < 50; seed++) {
+            calls.clear();
+            now = 0;
+            discovery(seed, fleet, 1000).start();
+            passToNextCall();
+            for (int times = 0; times < 2; times++) {
+                Call silent = last();
+                fallSilent();
+                assertTrue(last().at() + 1000 <= silent.toldBy(), "asked anew at " + last().at() + ", told by " + silent.toldBy());
+                last().answer().come(200, news(calls.size()));
+                passToNextCall();
+            }
+        }
+    }
+
+    @Test
+    void silenceRightAfterAMoveLeavesTimeForAnotherCallBeforeTheNewListCountsAsTold() {
+        Discovery discovery = discovery(3, 6, 1000);
+        discovery.start();
+        passToNextCall();
+        long moved = now;
+        discovery.moveTo(null, settings(3, 6, 1000));
+        passToNextCall();
+        fallSilent();
+        assertTrue(last().at() - moved < 4000, "asked anew after ms: " + (last().at() - moved));
+    }
+
+    private static Policy.Settings settings(long seed, int fleet, long graceMs) {
+        return new Policy.Settings(seed, 0, fleet, "z", List.of(new Policy.RequestClass("any", Policy.Repeat.ONCE,
+                Policy.KeyScope.ALL, 0, 1, 2, 1, 0, false)), List.of(), List.of(), List.of(),
+                new Policy.Limits(1, 1, 1, true, false, false, false, true, 1),
+                new Policy.Rules(0, graceMs * 1000, 2, 1, 0.2, 1, 10_000_000, 0), 1, false, true, Policy.RateHint.NONE, 0);
+    }
+
+    @Test
+    void callsThatKeepFallingSilentAreMadeWithGrowingPauses() {
+        discovery(5, 6, 1000).start();
+        passToNextCall();
+        List<Long> pauses = new ArrayList<>();
+        for (int times = 0; times < 5; times++) {
+            Call silent = last();
+            fallSilent();
+            pauses.add(last().at() - silent.at() - silent.timeout());
+        }
+        assertTrue(pauses.get(4) >= 1600, "pauses " + pauses);
+        assertTrue(pauses.get(4) <= 4800, "pauses " + pauses);
+    }
+}
