Ask again after news within the grace of a drain

Found by reading the settings of another customer: its grace of a drain is 250 ms, and after news a watcher asked again 250 to 750 ms later (Discovery.AFTER_NEWS_MS). What is made within 200 ms of an answer counts as told, so a drain made right after one was heard after its grace. The pause now leaves the grace room for a turn of each relay at discovery. SilentDiscoveryTest.afterNews... fails without it (asked anew after ms: 558, with a grace of 250 and 400 ms).

--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -47,7 +47,10 @@
     private static final long LONGEST_MOVED_PAUSE_MS = 800;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
-    /** Guards against a fleet that a change wakes and that all asks again at once; a release makes many changes. */
+    /**
+     * Guards against a fleet that a change wakes and that all asks again at once; a release makes many changes. At most:
+     * what is made right after an answer counts as told, and has to be heard within the grace of a drain.
+     */
     private static final long AFTER_NEWS_MS = 500;
     /** What is known at the start stands until then; many relays may start together. */
     private static final long FIRST_MS = 500;
@@ -72,6 +75,7 @@
     private final Agent agent;
     private final Listener listener;
     private boolean watches;
+    private long afterNews;
     /** From one call to the next, where nobody watches. */
     private long longestRound;
     /** The list of a new address is still to come. */
@@ -126,6 +130,7 @@
         long turns = settings.fleetSize() * TURN_MS;
         long grace = TimeUnit.MICROSECONDS.toMillis(settings.rules().drainGrace());
         watches = turns <= grace;
+        afterNews = Math.max(BREATH_MS, Math.min(AFTER_NEWS_MS, (grace - turns) / 2));
         long mustAsk = TimeUnit.MICROSECONDS.toMillis(settings.rules().mustAskIn());
         longestRound = mustAsk > 0 ? (long) (mustAsk * LONGEST_ROUND) : 2 * FETCH_PAUSE_MS;
     }
@@ -148,7 +153,7 @@
         // Guards against what a call that fell silent has missed, which counts as told soon: the first one after it need
         // not wait, as discovery has not turned anything away.
         long pause = !taken ? status == AgentClient.SILENT && failures == 0 ? BREATH_MS : failurePause()
-                : !watches ? fetchPause() : version > before ? spread(AFTER_NEWS_MS) : BREATH_MS;
+                : !watches ? fetchPause() : version > before ? spread(afterNews) : BREATH_MS;
         tell(taken, status);
         askIn(pause);
     }
--- a/src/test/java/pipitstage/relay/SilentDiscoveryTest.java
+++ b/src/test/java/pipitstage/relay/SilentDiscoveryTest.java
@@ -140,4 +140,20 @@
         assertTrue(pauses.get(4) >= 1600, "pauses " + pauses);
         assertTrue(pauses.get(4) <= 4800, "pauses " + pauses);
     }
+
+    /** What is made within 200 ms of an answer counts as told, and a drain is kept from a grace later on. */
+    @ParameterizedTest
+    @ValueSource(ints = {250, 400, 1000})
+    void afterNewsTheNextCallComesWithinTheGraceOfADrain(int grace) {
+        for (long seed = 0; seed < 50; seed++) {
+            calls.clear();
+            now = 0;
+            discovery(seed, 3, grace).start();
+            passToNextCall();
+            last().answer().come(200, news(7));
+            long told = now;
+            passToNextCall();
+            assertTrue(last().at() - told < grace, "asked anew after ms: " + (last().at() - told));
+        }
+    }
 }
