Try what a restart finds taken on and untried, whatever it comes back to

Such messages now go first at their destination, are not pushed out, and at the last (1 s before their end, or twice the response) are called whatever the pace; where a circuit is open, as early as a cold destination bears it by the release rate, so that a fleet does not push it over together. Waits told, drains and the repeat rules stand. Where the list knows no route for one, the list is asked for at once (fetchList). A line tells resumed, untried, tried, given up uncalled.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -66,6 +66,10 @@
     private static final double SCARCE_SLOT_SHARE = 0.2; // of a slow one, and of any while few slots are left
     private static final double SCARCE_FROM = 0.75; // of the slots out: those left are for other destinations
 
+    // Restarts.
+    private static final long LAST_CALL = 1_000_000; // before its end what a restart found is called
+    private static final double LAST_RATIO = 2; // where the usual response is long
+
     // Notes.
     private static final long GUARD = 10_000_000; // how long trouble told of makes all ask for turns
     private static final long PATIENCE = 8_000_000; // a turn so late is lost: a relay goes by its own pace
@@ -90,8 +94,10 @@
     private final Set<Group> kept = new LinkedHashSet<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<String, OrderLine> lines = new HashMap<>();
-    private final TreeSet<Request> ends = new TreeSet<>(
-            Comparator.<Request>comparingLong(r -> r.deadline).thenComparingLong(r -> r.id));
+    private static final Comparator<Request> BY_END =
+            Comparator.<Request>comparingLong(r -> r.deadline).thenComparingLong(r -> r.id);
+    private final TreeSet<Request> ends = new TreeSet<>(BY_END);
+    private final Resumption resumption = new Resumption();
     /** Destinations with messages waiting: a round costs what these cost, however many are known. */
     private final Set<Destination> busy = new LinkedHashSet<>();
     /** Calls out, oldest first; each takes a slot. */
@@ -148,9 +154,7 @@
     @Override
     public int unavailable(long now) {
         return (int) routes.values().stream().filter(route -> route.inList)
-                .filter(route -> !route.listed || now < route.group.waitUntil
-                        || route.circuit.state != CircuitState.CLOSED
-                        || route.group.circuit.state != CircuitState.CLOSED).count();
+                .filter(route -> !route.listed || now < route.group.waitUntil || isOut(route)).count();
     }
 
     /** Guards against a fleet whose every guard costs every relay a round's work: it lets nothing new go. */
@@ -245,10 +249,48 @@
             request.attempts.add(attempt);
             rest(request, attempt.result);
         }
+        resumption.add(request, e.attempts().stream().allMatch(past -> past.result() == Result.NOT_SENT));
+        // Guards against a list from before that lacks its destination; the next call for it may be long off.
+        if (request.destination.routes.values().stream().noneMatch(route -> route.listed)) {
+            actions.fetchList();
+        }
         unhold(request);
         tryAgain(request);
     }
 
+    /**
+     * What a restart found is tried at the last, whatever the pace; where a circuit came back open as early
+     * as a cold destination bears it: a fleet that owes much there would push it over at the end.
+     */
+    private void callOwed() {
+        for (Request request : resumption.owed.stream().filter(this::hasTurn).sorted(BY_END).toList()) {
+            List<Route> open = request.destination.routes.values().stream()
+                    .filter(r -> isListed(r) && now >= owedAt(request, r)).toList();
+            if (!open.isEmpty() && out.size() < slots()) {
+                Route route = draw(open);
+                boolean cold = isOut(route) || releasing(route.group);
+                route.group.nextOwedAt = cold ? now + interval(releaseRate(route.group, now)) : now;
+                call(request, route, false);
+            }
+        }
+    }
+
+    private static boolean isOut(Route route) {
+        return route.circuit.state != CircuitState.CLOSED || route.group.circuit.state != CircuitState.CLOSED;
+    }
+
+    private long owedAt(Request request, Route route) {
+        // Guards against calls that hold their slots to the end while nothing answers.
+        boolean early = isOut(route) && request.type.repeat() != Repeat.ONCE && !crowded(route.group, route);
+        long last = request.deadline - (long) Math.max(LAST_CALL, LAST_RATIO * response(route));
+        return Math.max(early ? now : last, Math.max(route.group.waitUntil, route.group.nextOwedAt));
+    }
+
+    /** An owed request was tried, or has ended. */
+    private void settleOwed(Request request, boolean tried) {
+        Optional.ofNullable(resumption.settle(request, tried)).ifPresent(actions::log);
+    }
+
     private Request add(Accepted e) {
         RequestClass type = classes.get(e.requestClass());
         if (type == null && e.terms() == null) {
@@ -285,16 +327,17 @@
 
     /** Guards against a full buffer, which would turn away worthy requests at the door unseen. */
     private void makeRoom() {
-        busy.stream().flatMap(destination -> destination.waiting.stream()).filter(this::refusable)
+        busy.stream().flatMap(busy -> busy.waiting.stream()).filter(r -> !r.owed && refusable(r))
                 .min(Comparator.comparingDouble(request -> value(request, now))).ifPresent(this::end);
     }
 
     private boolean refusable(Request request) {
-        return switch (request.type.repeat()) {
-            case REPEATABLE -> true;
-            case BY_KEY -> request.type.keyScope() == KeyScope.ALL || firstThatMayHaveRun(request) == null;
-            case ONCE -> firstThatMayHaveRun(request) == null;
-        };
+        return repeatsAnywhere(request.type) || firstThatMayHaveRun(request) == null;
+    }
+
+    private static boolean repeatsAnywhere(RequestClass type) {
+        return type.repeat() == Repeat.REPEATABLE
+                || type.repeat() == Repeat.BY_KEY && type.keyScope() == KeyScope.ALL;
     }
 
     /** Ends a request that has no attempt out, undelivered. */
@@ -316,6 +359,7 @@
 
     private void finish(Request request) {
         request.done = true;
+        settleOwed(request, false);
         held--;
         unhold(request);
         ends.remove(request);
@@ -672,12 +716,8 @@
     /** Calls a second that the group takes from all relays, as reported or listed; 0 where unknown. */
     private double limit(Group group) {
         double listed = group.routes.stream().filter(r -> r.listed).mapToDouble(r -> r.rate).max().orElse(0);
-        double hint = switch (settings.rateHint()) {
-            case NONE -> 0;
-            case NOMINAL -> listed;
-            case ROUGH -> listed / ROUGH_DIVISOR;
-        };
-        return group.reportedRate > 0 ? group.reportedRate : hint;
+        double hint = settings.rateHint() == RateHint.ROUGH ? listed / ROUGH_DIVISOR : listed;
+        return group.reportedRate > 0 ? group.reportedRate : settings.rateHint() == RateHint.NONE ? 0 : hint;
     }
 
     /** Events a second over the rate's span or so, or since they are counted. */
@@ -816,8 +856,7 @@
         Group group = route.group;
         openIfMute(route);
         return isListed(route) && now >= group.waitUntil && now >= route.crowdedUntil && mayGo(group)
-                && route.circuit.state == CircuitState.CLOSED && group.circuit.state == CircuitState.CLOSED
-                && !(route.out.size() >= 2 && mute(route, 0.5)) && !crowded(group, route);
+                && !isOut(route) && !(route.out.size() >= 2 && mute(route, 0.5)) && !crowded(group, route);
     }
 
     private double score(Route route, double best) {
@@ -844,10 +883,8 @@
         if (first == null || request.type.repeat() == Repeat.REPEATABLE) {
             return true;
         }
-        if (request.type.repeat() == Repeat.ONCE || now >= repeatableUntil(request)) {
-            return false;
-        }
-        return switch (request.type.keyScope()) {
+        boolean late = request.type.repeat() == Repeat.ONCE || now >= repeatableUntil(request);
+        return !late && switch (request.type.keyScope()) {
             case ALL -> true;
             case ZONE -> first.call.route != null && first.call.route.zone.equals(route.zone);
             case CELL -> first.call.route == route;
@@ -894,6 +931,7 @@
                 Comparator.comparingDouble(Candidate::loss).reversed().thenComparingLong(c -> c.request.id));
         kept.forEach(this::giveTurns);
         kept.removeIf(group -> group.keeper.askers.isEmpty());
+        callOwed();
         for (Destination destination : List.copyOf(busy)) {
             test(destination);
             addCandidate(destination, candidates);
@@ -937,7 +975,8 @@
         Request best = null;
         double most = -1;
         for (Request request : destination.waiting) {
-            double loss = loss(request, usable.get(0));
+            // What a restart has found goes first, by its end: it is owed a try, and older than the rest.
+            double loss = request.owed ? Double.MAX_VALUE : loss(request, usable.get(0));
             boolean earlier = best != null && loss == most && request.deadline < best.deadline;
             if ((loss > most || earlier) && hasTurn(request) && inTime(request, usable.get(0))
                     && usable.stream().anyMatch(route -> allowed(request, route))) {
@@ -965,7 +1004,7 @@
 
     /** Guards against calls that can't be answered in time any more. */
     private boolean inTime(Request request, Route route) {
-        return request.deadline - now > response(route) / 2;
+        return request.owed || request.deadline - now > response(route) / 2;
     }
 
     /** Within pace; while all ask for turns, with a turn or after waiting for one in vain. */
@@ -1107,9 +1146,7 @@
         }
         circuit.testing = true;
         // Guards against a test in vain that leaves a request with nowhere to go.
-        boolean free = chosen.type.repeat() == Repeat.REPEATABLE
-                || chosen.type.repeat() == Repeat.BY_KEY && chosen.type.keyScope() == KeyScope.ALL;
-        if (!free && settings.limits().probes()) {
+        if (!repeatsAnywhere(chosen.type) && settings.limits().probes()) {
             count(route.group.sent);
             actions.probe(route.name);
         } else {
@@ -1146,6 +1183,7 @@
 
     private void send(Request request, Call call) {
         unhold(request);
+        settleOwed(request, true);
         long until = Math.min(repeatableUntil(request), leavesUntil(call.route));
         request.attempts.add(new Attempt(call));
         request.out++;
@@ -1160,7 +1198,7 @@
         if (last) {
             return 0;
         }
-        return call.test ? testTimeout(call.route)
+        return call.test || isOut(call.route) ? testTimeout(call.route)
                 : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
     }
 
@@ -1238,6 +1276,12 @@
 
     private void arm() {
         long wake = ends.isEmpty() ? Long.MAX_VALUE : ends.first().deadline;
+        for (Request request : resumption.owed) {
+            for (Route route : request.destination.routes.values()) {
+                long at = owedAt(request, route);
+                wake = at > now ? Math.min(wake, at) : wake;
+            }
+        }
         wake = Math.min(wake, kept.stream().mapToLong(group -> group.keeper.nextAt).min().orElse(wake));
         for (Destination destination : busy) {
             for (Route route : destination.routes.values()) {
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -113,6 +113,8 @@
         long askedAt;
         long turnUntil;
         long guardedUntil;
+        /** When the next call may go that is owed to what a restart has found and is made whatever the pace. */
+        long nextOwedAt;
         final Keeper keeper = new Keeper();
 
         Group(int number, long since) {
@@ -193,6 +195,8 @@
         final List<Attempt> attempts = new ArrayList<>();
         int out;
         boolean done;
+        /** Taken up after a restart, and not tried yet. */
+        boolean owed;
 
         Request(Accepted e, Terms terms, Destination destination) {
             id = e.id();
@@ -209,6 +213,42 @@
         }
     }
 
+    /** What a restart has found taken on, and what of it has been tried so far. */
+    static final class Resumption {
+        /** Those still to be tried, in the order taken up. */
+        final Set<Request> owed = new LinkedHashSet<>();
+        int resumed;
+        int untried;
+        int tried;
+
+        void add(Request request, boolean isUntried) {
+            resumed++;
+            if (isUntried) {
+                untried++;
+                request.owed = owed.add(request);
+            }
+        }
+
+        /** A request was tried, or has ended; what staff are told of all once the last one was, else null. */
+        String settle(Request request, boolean isTried) {
+            if (!request.owed) {
+                return null;
+            }
+            request.owed = false;
+            owed.remove(request);
+            tried += isTried ? 1 : 0;
+            if (!owed.isEmpty()) {
+                return null;
+            }
+            String told = "resumed " + resumed + ", untried " + untried + ", of these tried " + tried
+                    + ", given up uncalled " + (untried - tried);
+            resumed = 0;
+            untried = 0;
+            tried = 0;
+            return told;
+        }
+    }
+
     /** The requests of one key in the order accepted. */
     static final class OrderLine {
         final ArrayDeque<Request> requests = new ArrayDeque<>();
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -81,6 +81,7 @@
     /** The list of a new address is still to come. */
     private boolean moved;
     private Future<?> next;
+    private long nextAt;
     private long askedAt;
     private final SplittableRandom random;
     private final JsonFactory json = new JsonFactory();
@@ -126,6 +127,13 @@
         askIn(upTo(watches ? 0 : FIRST_AFTER_MOVE_MS));
     }
 
+    /** The list is wanted sooner than it would be asked for: what is known does not do for what is held. */
+    void askSoon() {
+        if (!next.isDone() && nextAt - System.nanoTime() > TimeUnit.MILLISECONDS.toNanos(FIRST_MS)) {
+            askIn(upTo(FIRST_MS));
+        }
+    }
+
     private void tune(Policy.Settings settings) {
         long turns = settings.fleetSize() * TURN_MS;
         long grace = TimeUnit.MICROSECONDS.toMillis(settings.rules().drainGrace());
@@ -163,6 +171,7 @@
             next.cancel(false);
         }
         next = loop.schedule(this::ask, ms, TimeUnit.MILLISECONDS);
+        nextAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
     private long failurePause() {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -59,6 +59,7 @@
     private long listVersion = -1;
     private boolean ready;
     private boolean listTold;
+    private Runnable listWanted = () -> { };
 
     Engine(EventLoop loop, Clock clock, Config config, Journal journal, Function<Policy.Settings, Policy> module) {
         this.loop = loop;
@@ -75,6 +76,11 @@
         nextNumber = journal.nextNumber();
     }
 
+    /** Whom to ask for the list sooner than it would come by itself. */
+    void onListWanted(Runnable ask) {
+        listWanted = ask;
+    }
+
     /** Takes other settings whole: what is taken on from now on goes by them. */
     void retune(Config next) {
         settings = next.settings();
@@ -584,9 +590,10 @@
     @Override
     public void subscribe(boolean on) { }
 
-    /** The watch on discovery runs all the time. */
     @Override
-    public void fetchList() { }
+    public void fetchList() {
+        listWanted.run();
+    }
 
     @Override
     public void log(String text) {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -48,6 +48,7 @@
         engine = new Engine(loop, clock, config, journal, Logic::new);
         discovery = new Discovery(loop, new AgentClient(loop, config.discovery()), config.settings(),
                 config.known().isEmpty() ? -1 : config.knownVersion(), engine);
+        engine.onListWanted(discovery::askSoon);
         pulse = new Pulse(loop, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
         successor = new SuccessorLink(loop, this);
--- a/src/test/java/pipitstage/Relay.java
+++ b/src/test/java/pipitstage/Relay.java
@@ -31,6 +31,7 @@
     final List<Long> subscribed = new ArrayList<>();
     final List<String> told = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
+    int fetches;
     private final List<long[]> timers = new ArrayList<>();
     private final Policy policy;
     private final Map<Long, Integer> attempts = new HashMap<>();
@@ -193,7 +194,9 @@
     }
 
     @Override
-    public void fetchList() { }
+    public void fetchList() {
+        fetches++;
+    }
 
     @Override
     public void log(String text) {
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -82,6 +82,30 @@
         assertFalse(relay.noticed("d1", "dead"));
     }
 
+    /** Neither its list nor, for the first moment, discovery knows where the messages of a whole journal go. */
+    @Test
+    void wholeJournalOfUntriedMessagesIsTriedAfterAKillThoughTheListIsUnknownAtFirst() throws IOException {
+        relay.start();
+        for (int i = 0; i < 30; i++) {
+            assertEquals(202, relay.handIn("w" + i, List.of("safe", "keyed", "unsafe").get(i % 3), 7));
+        }
+        await(() -> !host.requests.isEmpty());
+        relay.kill();
+        List<String> untried = relay.journaled().stream().filter(m -> m.attempts.isEmpty())
+                .map(m -> m.content.callId()).toList();
+        assertTrue(untried.size() >= 20, "untried " + untried.size());
+        discovery.answer(request -> request.line().startsWith("POST") ? status(204) : status(503));
+        host.answer(request -> status(200));
+        relay.configured(text -> text.replaceFirst("\"targets\":\\[.*?\\]", "\"targets\":[]")).start();
+        await(() -> relay.log().contains("discovery: no list"));
+        discovery.answer(request -> request.line().startsWith("POST") ? status(204)
+                : StubPeer.answer(200, RelayProcess.list(2, true,
+                        RelayProcess.target("h1", 7, "one", "in_service", host.address()))));
+        await(() -> untried.stream().allMatch(host::hasCallFor));
+        await(() -> relay.log().contains("untried " + untried.size() + ", of these tried " + untried.size()
+                + ", given up uncalled 0"));
+    }
+
     @Test
     void timeSpentDownCounts() throws IOException, InterruptedException {
         // Enough time for a slow machine to take the message on, all of which passes while the relay is down.
