Hand back, in a process that ends, what the next one cannot try in time

The module now ends it as the end begins: the client may come again. ResumptionTest.processThatEnds... fails without it. Ruled out: trying all at the end; a call that the kill cuts off may have run.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -69,6 +69,7 @@
     // Restarts.
     private static final long LAST_CALL = 1_000_000; // before its end what a restart found is called
     private static final double LAST_RATIO = 2; // where the usual response is long
+    private static final long RESTART = 3_500_000; // until the next process can call
 
     // Notes.
     private static final long GUARD = 10_000_000; // how long trouble told of makes all ask for turns
@@ -286,11 +287,6 @@
         return Math.max(early ? now : last, Math.max(route.group.waitUntil, route.group.nextOwedAt));
     }
 
-    /** An owed request was tried, or has ended. */
-    private void settleOwed(Request request, boolean tried) {
-        Optional.ofNullable(resumption.settle(request, tried)).ifPresent(actions::log);
-    }
-
     private Request add(Accepted e) {
         RequestClass type = classes.get(e.requestClass());
         if (type == null && e.terms() == null) {
@@ -359,7 +355,7 @@
 
     private void finish(Request request) {
         request.done = true;
-        settleOwed(request, false);
+        Optional.ofNullable(resumption.settle(request, false)).ifPresent(actions::log);
         held--;
         unhold(request);
         ends.remove(request);
@@ -389,9 +385,14 @@
         return line.requests.peek() == request && (!request.attempts.isEmpty() || line.restUntil <= now);
     }
 
+    /** Guards, in a process that ends, against leaving to the next one what it can't try in time any more. */
+    private boolean isOver(Request request) {
+        return request.deadline <= now + (ending ? RESTART : 0);
+    }
+
     /** Ends what has run out of time; an attempt still out reports its own time-out. */
     private void endOverdue() {
-        while (!ends.isEmpty() && ends.first().deadline <= now) {
+        while (!ends.isEmpty() && isOver(ends.first())) {
             Request request = ends.pollFirst();
             if (request.out == 0) {
                 count(request.destination.lost);
@@ -481,8 +482,8 @@
 
     private void tryAgain(Request request) {
         boolean spent = request.attempts.size() >= request.maxAttempts;
-        boolean ran = firstThatMayHaveRun(request) != null;
-        if (now >= request.deadline || spent || ran && request.type.repeat() == Repeat.ONCE) {
+        boolean once = request.type.repeat() == Repeat.ONCE;
+        if (isOver(request) || spent || once && firstThatMayHaveRun(request) != null) {
             end(request);
         } else {
             hold(request);
@@ -708,8 +709,8 @@
         if (route != null) {
             // Guards against calls that follow a probe which was told to wait.
             heed(route.group, e.toldWait());
-            Call probe = new Call(route, now - e.elapsed(), true);
-            judge(probe, e.result(), e.toldWait(), e.elapsed(), e.report());
+            Call call = new Call(route, now - e.elapsed(), true);
+            judge(call, e.result(), e.toldWait(), e.elapsed(), e.report());
         }
     }
 
@@ -1183,7 +1184,7 @@
 
     private void send(Request request, Call call) {
         unhold(request);
-        settleOwed(request, true);
+        Optional.ofNullable(resumption.settle(request, true)).ifPresent(actions::log);
         long until = Math.min(repeatableUntil(request), leavesUntil(call.route));
         request.attempts.add(new Attempt(call));
         request.out++;
--- a/src/test/java/pipitstage/ResumptionTest.java
+++ b/src/test/java/pipitstage/ResumptionTest.java
@@ -128,4 +128,13 @@
         assertEquals(0, tried());
         assertTrue(relay.logged.toString().contains("given up uncalled 40"), relay.logged.toString());
     }
+
+    @Test
+    void processThatEndsHandsBackWhatTheNextOneCanNotTryInTime() {
+        lists(relay).round(new Policy.Ending());
+        relay.round(new Policy.Accepted(1, "once", null, null, relay.now + 3 * S, 1),
+                new Policy.Accepted(2, "once", null, null, relay.now + 6 * S, 1));
+        assertEquals(List.of(1L), relay.refused, "told at once, and the other is left to the next process");
+        assertEquals(0, relay.sent.size());
+    }
 }
