Let the spans of tests and silence follow the longest deadline

A customer whose messages have 1.2 s: no test could ever be sent, as one wants 1.5 s or four responses, a silent route never counted as mute (2.5 s), and its time-outs were blamed on the messages (Logic.testTimeout, overdueAt). A circuit neither opened by silence nor closed again. ShortDeadlineTest fails without it for each kind of repeat ([] where 'out: a' is expected).

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -54,6 +54,7 @@
     private static final double WANTED_RATIO = 5;
     private static final long TEST_TIMEOUT = 1_500_000; // a longer test has told enough
     private static final double TEST_RATIO = 4; // where the usual response is long
+    private static final double LONGEST_SPAN = 0.7; // of the longest deadline: no message waits for more
     private static final long FIRST_GUESS = 400_000; // response before the first answer
     private static final long STALE = 5_000_000; // a response so old says nothing of now
 
@@ -106,6 +107,7 @@
     /** Calls out for long by their route's measure: those answered after all, and those never. */
     private final Rate answeredLate = new Rate(0);
     private final Rate answerLost = new Rate(0);
+    private long longest;
     private long now;
     private Actions actions;
     private int held;
@@ -129,6 +131,7 @@
         settings = next;
         classes.clear();
         next.classes().forEach(type -> classes.put(type.name(), type));
+        longest = next.classes().stream().mapToLong(RequestClass::deadline).max().orElseThrow();
         kinds.clear();
         next.kinds().forEach(kind -> kinds.put(kind.name(), kind));
         routes.values().forEach(route -> route.placeBonus = placeBonus(route.zone));
@@ -767,7 +770,7 @@
 
     /** When a call is overdue by its route's own measure: it will hardly be answered any more. */
     private long overdueAt(Call call) {
-        return call.sentAt + (long) Math.max(OVERDUE_FLOOR, OVERDUE_RATIO * response(call.route));
+        return call.sentAt + bounded(Math.max(OVERDUE_FLOOR, OVERDUE_RATIO * response(call.route)));
     }
 
     /**
@@ -1203,8 +1206,13 @@
                 : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
     }
 
+    /** Guards against spans that no message has: no circuit would open by silence, nor close by a test. */
+    private long bounded(double span) {
+        return (long) Math.min(span, LONGEST_SPAN * longest);
+    }
+
     private long testTimeout(Route route) {
-        return Math.max(TEST_TIMEOUT, (long) (TEST_RATIO * response(route)));
+        return bounded(Math.max(TEST_TIMEOUT, TEST_RATIO * response(route)));
     }
 
     private void list(RouteList e) {
--- /dev/null
+++ b/src/test/java/pipitstage/ShortDeadlineTest.java
@@ -0,0 +1,60 @@
+package pipitstage;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.Relay.MS;
+import static pipitstage.Relay.S;
+import static pipitstage.Relay.route;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import pipitstage.Policy.KeyScope;
+import pipitstage.Policy.Repeat;
+import pipitstage.Policy.RequestClass;
+import pipitstage.Policy.Result;
+
+/** A customer whose messages have far less time than spans that suit others. */
+class ShortDeadlineTest {
+    private static final long DEADLINE = 1200 * MS;
+
+    private Relay relay(Repeat repeat) {
+        Policy.Settings usual = Relay.settings();
+        return new Relay(new Policy.Settings(usual.seed(), 0, 2, "east",
+                List.of(new RequestClass("brief", repeat, KeyScope.ALL, S, 400 * MS, DEADLINE, 1, 0.5, false)),
+                List.of(), usual.kinds(), usual.zones(), new Policy.Limits(10, 100, 6, true, false, false, false, false, S), usual.rules(), 1, false, false,
+                Policy.RateHint.NONE, 0)).list(route("a", 1, "plain", "east"));
+    }
+
+    private static void pass(Relay relay, long span, boolean answers) {
+        for (long end = relay.now + span; relay.now < end;) {
+            relay.pass(50 * MS);
+            for (Relay.Sent sent : List.copyOf(relay.unanswered)) {
+                long timeout = sent.timeout() == 0 ? DEADLINE : Math.min(sent.timeout(), DEADLINE);
+                if (answers && relay.now - sent.at() >= 100 * MS) {
+                    relay.answer(sent.id(), Result.OK);
+                } else if (relay.now - sent.at() >= timeout) {
+                    relay.answer(sent.id(), Result.TIMEOUT);
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Repeat.class)
+    void silentRouteIsLeftAloneAndServesAgainOnceItAnswers(Repeat repeat) {
+        Relay relay = relay(repeat);
+        long id = 0;
+        for (int i = 0; i < 100; i++) {
+            relay.round(new Policy.Accepted(id++, "brief", null, "k", relay.now + DEADLINE, 1));
+            pass(relay, 100 * MS, false);
+        }
+        assertTrue(relay.logged.stream().anyMatch(line -> line.startsWith("out: a")), relay.logged.toString());
+        assertTrue(relay.sent.size() < 60, "calls to a silent route: " + relay.sent.size());
+        for (int i = 0; i < 100; i++) {
+            relay.round(new Policy.Accepted(id++, "brief", null, "k", relay.now + DEADLINE, 1));
+            pass(relay, 100 * MS, true);
+        }
+        assertTrue(relay.logged.contains("serves again: a"), relay.logged.toString());
+    }
+}
