Write no call to a kept connection that its host, or this relay, has just closed

Found by reading, forced in one step of the event loop: between a pass's reads and its timers a host closes a kept connection, the round in the same pass writes a call to it, and the call ends as RESET, which for a class that may take effect once is a failure (expected [OK, OK] but was [OK, RESET]). A connection that the relay itself closes stays among the idle ones until Netty tells of its end, a task later; a call taken then ends as CONNECT_FAILED and counts against the route. Lines: HostClient.start took host.idle.pollLast() unseen; HostConnection.close left itself in the lists. Each is now read once more before it is used, and leaves the lists as it closes. What is left is the true crossing on the way, which stays RESET (third test). IdleHostConnectionTest: two of three fail without it.

--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -263,11 +263,12 @@
 
     private void start(HostCall call) {
         Host host = call.host();
-        HostConnection connection = host.idle.pollLast();
-        if (connection != null) {
-            idle.remove(connection);
-            begin(connection, call);
-            return;
+        for (HostConnection last = host.idle.pollLast(); last != null; last = host.idle.pollLast()) {
+            idle.remove(last);
+            if (last.isUsable()) {
+                begin(last, call);
+                return;
+            }
         }
         host.queue.add(call);
         connect(host);
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -113,10 +114,18 @@
         }
     }
 
+    /** Guards against a connection that is taken for another call before the loop tells of its end. */
     void close() {
+        client.closed(this);
         context.close();
     }
 
+    /** False where the host has closed it meanwhile: a call on it would end as one that may have run. */
+    boolean isUsable() {
+        ((AbstractNioChannel) context.channel()).unsafe().read();
+        return context.channel().isActive();
+    }
+
     /** Closes under a call that the relay itself has given up: nothing of it is to be told any more. */
     void drop() {
         call = null;
--- /dev/null
+++ b/src/test/java/pipitstage/relay/IdleHostConnectionTest.java
@@ -0,0 +1,131 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.StubPeer.status;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pipitstage.Policy;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.Result;
+
+/** Kept connections to a host that end just as a call is about to go on them, in steps on the event loop itself. */
+class IdleHostConnectionTest implements HostClient.Results {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final Clock clock = new Clock();
+    private final List<Result> ended = new CopyOnWriteArrayList<>();
+    private StubPeer host;
+    private HostClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        host = StubPeer.always(status(200));
+        Policy.RequestClass once = new Policy.RequestClass("once", Policy.Repeat.ONCE, Policy.KeyScope.ALL, 0, 1, 20_000_000,
+                1, 0, false);
+        Policy.Settings settings = new Policy.Settings(1, 0, 1, "z", List.of(once), List.of(),
+                List.of(new Policy.Kind("one", false, 1)), List.of(),
+                new Policy.Limits(8, 8, 8, true, false, false, false, true, 1_000_000),
+                new Policy.Rules(0, 1, 2, 1, 0.2, 1, 1, 0), 1, false, true, Policy.RateHint.NONE, 0);
+        InetSocketAddress none = Config.address("127.0.0.1:1");
+        Config config = new Config(none, null, none, null, 256, 1 << 20, settings, 5000, 10_000_000, false, -1, List.of(),
+                Map.of());
+        Target target = new Target(new Policy.Listed("h", 7, "one", "z", Policy.Availability.LISTED, 0),
+                Config.address(host.address()));
+        loop.submit(() -> {
+            client = new HostClient(loop, clock, config, this);
+            client.list(Policy.ListKind.FULL, List.of(target));
+        }).sync();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        host.close();
+        group.shutdownGracefully();
+    }
+
+    private void send(String id) {
+        long now = clock.micros();
+        Message message = new Message(1, new Message.Content(id, "once", null, null, now + 20_000_000, 7, new byte[5]), null);
+        client.send("h", List.of(new HostClient.Outgoing(message.addAttempt("h", now), 10_000_000, Long.MAX_VALUE)));
+    }
+
+    private void rested() throws Exception {
+        loop.submit(() -> send("first")).sync();
+        await(() -> ended.size() == 1);
+        await(() -> {
+            try {
+                return loop.submit(() -> client.figures().contains("(1 idle)")).get();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    @Test
+    void callIsNotWrittenToAConnectionThatItsHostHasClosedSinceTheLastRead() throws Exception {
+        rested();
+        loop.submit(() -> {
+            // The loop is in this step: it has not read the end that is there from here on.
+            closeAll();
+            send("second");
+        }).sync();
+        await(() -> ended.size() == 2);
+        assertEquals(List.of(Result.OK, Result.OK), ended);
+        assertEquals(2, host.connections.size());
+    }
+
+    @Test
+    void callIsNotWrittenToAConnectionThatThisRelayHasJustClosed() throws Exception {
+        rested();
+        loop.submit(() -> {
+            client.closeIdle("h");
+            send("second");
+        }).sync();
+        await(() -> ended.size() == 2);
+        assertEquals(List.of(Result.OK, Result.OK), ended);
+    }
+
+    @Test
+    void callThatMeetsTheEndOfItsConnectionAfterItsLastByteMayHaveRunAndIsToldOnce() throws Exception {
+        rested();
+        host.answer(request -> StubPeer.CLOSE);
+        loop.submit(() -> send("second")).sync();
+        await(() -> ended.size() == 2);
+        assertEquals(Result.RESET, ended.get(1));
+        loop.submit(() -> { }).sync();
+        assertEquals(2, ended.size());
+    }
+
+    private void closeAll() {
+        for (Socket connection : host.connections) {
+            try {
+                connection.close();
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Override
+    public void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report) {
+        ended.add(result);
+    }
+
+    @Override
+    public void probed(String route, Result result, long wait, long elapsed, LimitReport report) { }
+
+    @Override
+    public void written(int messages) { }
+}
