Ask again at once where the agent's close crosses the next call

Discovery's agent may close a connection that rests; where that crossed the next call, it counted as a failure of discovery (log: 'discovery: no list, status 0') with a pause of 200 to 600 ms, in which the watch is broken (200 ms), and a notice waited 50 ms. Line: AgentClient.lost. A request on a connection that had rested and ends within 200 ms, the span that continues a watch, is made once more on a new one; both kinds may be told twice. A connection that falls silent, one that is new, and a discovery that refuses the new one are failures as before. AgentCrossingTest fails without it for the watch.

--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -29,6 +30,8 @@
     static final int SILENT = -1;
     private static final int LARGEST_ANSWER = 2 << 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
+    /** The agent may close a connection that rests. One that ends so soon under a request has crossed it. */
+    private static final long CROSSED = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** What became of a request; {@code status} is 0 or {@link #SILENT} where no answer came. */
     interface Answer {
@@ -41,6 +44,12 @@
     private Channel channel;
     private Answer waiting;
     private Future<?> timeout;
+    private HttpMethod method;
+    private String path;
+    private String body;
+    /** Until when the end of the connection, which has rested, is no answer. */
+    private long crossesUntil;
+    private boolean mayCross;
 
     AgentClient(EventLoop loop, InetSocketAddress agent) {
         this.loop = loop;
@@ -65,21 +74,33 @@
         }
         waiting = answer;
         timeout = loop.schedule(this::giveUp, timeoutMs, TimeUnit.MILLISECONDS);
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+        this.method = method;
+        this.path = path;
+        this.body = body;
+        mayCross = channel != null && channel.isActive();
+        if (mayCross) {
+            crossesUntil = System.nanoTime() + CROSSED;
+            channel.writeAndFlush(request());
+        } else {
+            connect();
+        }
+    }
+
+    private FullHttpRequest request() {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.HOST, agent.getHostString() + ":" + agent.getPort());
         HttpUtil.setContentLength(request, request.content().readableBytes());
-        if (channel != null && channel.isActive()) {
-            channel.writeAndFlush(request);
-            return;
-        }
+        return request;
+    }
+
+    private void connect() {
         ChannelFuture opening = bootstrap.connect(agent);
         channel = opening.channel();
         opening.addListener(connected -> {
             if (connected.isSuccess()) {
-                opening.channel().writeAndFlush(request);
+                opening.channel().writeAndFlush(request());
             } else {
-                request.release();
                 lost(opening.channel());
             }
         });
@@ -99,8 +120,16 @@
 
     /** Guards against the end of an earlier connection that would be taken for the end of this one. */
     private void lost(Channel ended) {
-        if (ended == channel) {
-            channel = null;
+        if (ended != channel) {
+            return;
+        }
+        channel = null;
+        // A list and a notice may be asked for and told twice.
+        boolean again = waiting != null && mayCross && System.nanoTime() < crossesUntil;
+        mayCross = false;
+        if (again) {
+            connect();
+        } else {
             finish(0, "");
         }
     }
--- /dev/null
+++ b/src/test/java/pipitstage/relay/AgentCrossingTest.java
@@ -0,0 +1,49 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.StubPeer.answer;
+import static pipitstage.relay.StubPeer.status;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Discovery's agent closes a connection that rests just as the next call goes on it. */
+class AgentCrossingTest extends RelayTestBase {
+    @BeforeEach
+    void prepare() throws IOException {
+        prepare(RelayProcess.quietDiscovery(), StubPeer.always(status(200)));
+    }
+
+    @Test
+    void agentThatClosesItsConnectionAsTheNextCallIsWrittenIsAskedAgainAtOnce() throws IOException {
+        AtomicInteger watches = new AtomicInteger();
+        discovery.answer(request -> request.line().startsWith("POST") ? status(204)
+                : switch (watches.incrementAndGet()) {
+                    case 1 -> answer(200, RelayProcess.list(1, false));
+                    case 2 -> StubPeer.CLOSE;
+                    default -> StubPeer.SILENCE;
+                });
+        relay.start();
+        await(() -> discovery.count("GET /api/targets?after=1&") == 3);
+        assertFalse(relay.log().contains("no list"), relay.log());
+        assertEquals(2, discovery.connections.size());
+    }
+
+    @Test
+    void noticeWhoseConnectionClosesAsItIsWrittenIsToldAgainAtOnce() throws IOException {
+        AtomicInteger notices = new AtomicInteger();
+        discovery.answer(request -> !request.line().startsWith("POST") ? StubPeer.SILENCE
+                : notices.incrementAndGet() == 2 ? StubPeer.CLOSE : status(204));
+        host.answer(request -> status(504));
+        relay.configured(text -> text.replace("\"send-cap\":12", "\"send-cap\":1")).start();
+        relay.handIn("n1", "safe", 7);
+        await(() -> relay.noticed("n1", "bounced"));
+        relay.handIn("n2", "safe", 7);
+        await(() -> discovery.count("POST /status") == 3);
+        assertEquals(2, discovery.requests.stream().filter(r -> r.body().contains("\"n2\"")).count());
+    }
+}
