Take a signal during the start, and refuse what is not whole before a planned end

The hook was registered after 'serving on' (Main.serve): a SIGTERM in between ended the process with requests unread, one during the start skipped the end that lets calls finish. It is registered before the start now, and a relay told to end before it listens begins nothing and never listens ('told to end before clients could come'). At 3.2 s endWhenDone left with requests half read; their clients saw an end with no answer (expected 503 but was 0). They are refused with 503 now and have 200 ms to read it; SIGKILL comes at 3.7 s. Ends of idle connections, in service, at the end and at eviction, read first and close for sending alone: a request on its way met a reset (ClientConnection.IDLE_MS, stalled, closeIn; ClientServer.stalled).

--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -81,13 +81,30 @@
 
     /** Closes in a while, unless a request comes first. */
     void closeIn(long millis) {
-        startTimer(millis, () -> {
-            // Guards against a request that has come since this pass has read: its client would see a reset.
-            readNow();
-            if (idle) {
-                close();
-            }
-        });
+        startTimer(millis, this::endIdle);
+    }
+
+    /**
+     * Ends a connection that rests. Guards against a request that has come since this pass has read, and, by an end to
+     * sending alone, against one that is on its way: its client would see a reset, and has the right to an end.
+     */
+    private void endIdle() {
+        readNow();
+        if (ending) {
+            close();
+        } else if (idle) {
+            ending = true;
+            linger();
+        }
+    }
+
+    /** Waits no longer for the rest of a request, or for one to come; one that is whole is answered. */
+    void turnAway() {
+        if (!ending && idle) {
+            endIdle();
+        } else if (!ending && !answering) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
     }
 
     /** Reads what has come so far, without waiting for the loop's next pass. */
@@ -166,6 +183,11 @@
     /** Guards against clients that connect and say nothing, or begin a request and never end it. */
     private void stalled() {
         timer = null;
+        // Guards against refusing a request whose last byte has come since this pass has read.
+        readNow();
+        if (timer != null || ending) {
+            return;
+        }
         if (idle) {
             close();
         } else if (!answering) {
@@ -354,7 +376,7 @@
         idle = pipelined.isEmpty() && reading == null && refusal == null;
         if (idle) {
             server.fellIdle(this);
-            startTimer(IDLE_MS, this::close);
+            startTimer(IDLE_MS, this::endIdle);
         } else if (reading != null) {
             server.progressed(this);
             startTimer(REQUEST_MS, this::stalled);
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -167,6 +167,11 @@
         if (hasStoppedListening()) {
             return;
         }
+        // Guards against a listener that has no address yet.
+        if (!listener.isActive()) {
+            listener.close();
+            return;
+        }
         ((AbstractNioChannel) listener).unsafe().read();
         if (leftSince == Long.MAX_VALUE) {
             listener.close();
@@ -177,7 +182,7 @@
 
     /** True where nobody can come any more, and all who have are among the connections. */
     boolean hasStoppedListening() {
-        return !listener.isOpen();
+        return listener == null || !listener.isOpen();
     }
 
     /** Reads what clients have sent so far, without waiting for the loop's next pass. */
@@ -186,6 +191,11 @@
                 .forEach(ClientConnection::readNow);
     }
 
+    /** Refuses what is not whole yet, and ends what rests: the process leaves, and what would come meets a reset. */
+    void turnAway() {
+        List.copyOf(connections).forEach(ClientConnection::turnAway);
+    }
+
     /** So many descriptors are another process's for now; 0 where none are. */
     void yield(int descriptors) {
         mostConnections = Math.max(1, Math.max(mostEver / 4, mostEver - descriptors));
@@ -219,7 +229,13 @@
                 return first;
             }
         }
-        return idle.isEmpty() ? newest : idle.iterator().next();
+        for (ClientConnection first : List.copyOf(idle)) {
+            first.readNow();
+            if (!idle.isEmpty() && idle.iterator().next() == first) {
+                return first;
+            }
+        }
+        return newest;
     }
 
     /** Bytes have come that make no whole request yet. */
--- a/src/main/java/pipitstage/relay/Main.java
+++ b/src/main/java/pipitstage/relay/Main.java
@@ -7,7 +7,7 @@
 import pipitstage.SimHost;
 import pipitstage.WireException;
 
-/** Starts the relay or the simulator's adapter. docs/design.md has an overview. */
+/** Starts the relay or the simulator's adapter. */
 public final class Main {
     private static final int MISUSE = 2;
 
@@ -29,8 +29,9 @@
             EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Relay relay = new Relay(loop, config);
             Reload.onHangUp(System.getenv(), config, relay);
-            relay.start();
+            // Before clients come: a signal that crosses the start would end the process with their requests unread.
             Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
+            relay.start();
         } catch (Config.BadConfigException e) {
             exit(e.getMessage(), MISUSE);
         } catch (IOException e) {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -18,6 +18,7 @@
     private static final long SERVE_ON_MS = 500; // new connections still come, also when operators empty the relay
     private static final long BEGIN_NOTHING_MS = 2200; // calls take about a second
     private static final long GIVE_UP_MS = 3200; // what is still open is left to the journal
+    private static final long TURNED_AWAY_MS = 200; // for clients to read that a request begun is not waited for
     private static final long LOOK_MS = 20;
     /** Who sends a request as its connection closes sends it once more on a new one; nothing is won by leaving sooner. */
     private static final long COME_AGAIN_MS = 500;
@@ -114,6 +115,9 @@
     }
 
     private void listen() {
+        if (stopAt != 0) {
+            return;
+        }
         ChannelFuture bound = clients.listen(loop, config.listen());
         bound.addListener(done -> {
             if (done.isSuccess()) {
@@ -220,10 +224,14 @@
     void stop() {
         loop.execute(() -> {
             stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
+            if (clients.hasStoppedListening()) {
+                Log.line("told to end before clients could come");
+            }
             empty();
+            // Guards against calls that a process begins which has served nobody and has no time to hear of them.
+            loop.schedule(engine::beginNothing, listening ? BEGIN_NOTHING_MS : 0, TimeUnit.MILLISECONDS);
+            loop.schedule(this::endWhenDone, listening ? SERVE_ON_MS : 0, TimeUnit.MILLISECONDS);
         });
-        loop.schedule(engine::beginNothing, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
             stopped.await();
         } catch (InterruptedException e) {
@@ -240,7 +248,12 @@
             clients.stopListening();
             clients.readNow();
         }
-        if (clients.hasStoppedListening() && (done && clients.isDeserted() || late && !clients.isAnswering())) {
+        if (late) {
+            clients.turnAway();
+        }
+        boolean left = clients.connections() == 0
+                || System.nanoTime() >= stopAt + TimeUnit.MILLISECONDS.toNanos(TURNED_AWAY_MS);
+        if (clients.hasStoppedListening() && (done && clients.isDeserted() || late && !clients.isAnswering() && left)) {
             stopped.countDown();
         } else {
             loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -153,6 +153,13 @@
     }
 
     RelayProcess start() throws IOException {
+        launch();
+        await(() -> SERVING.matcher(log()).find());
+        return this;
+    }
+
+    /** Starts the process without waiting until it serves. */
+    void launch() throws IOException {
         configure();
         log = folder.resolve(name + starts++);
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + " && exec \"$0\" \"$@\"",
@@ -163,8 +170,6 @@
         builder.environment().put("EDGE_STATE", state().toString());
         builder.environment().put("EDGE_ADMIN_ADDR", "127.0.0.1:0");
         process = builder.start();
-        await(() -> SERVING.matcher(log()).find());
-        return this;
     }
 
     private static final String SETTINGS = """
