Tell staff of notices unheard and of a loop that stood still; count an end as a move

The cause is not found. Either all notices of one relay went unheard or its loop stood still: no log line tells of either, so two are added: 'N notices are unheard after K requests in vain', 'the loop stood still for N ms'. The end of an idle connection for sending alone was no move of its client, so a planned end left before it could come again (RestartTest.plannedEndServes... failed); it counts as one now.

--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -94,6 +94,7 @@
             close();
         } else if (idle) {
             ending = true;
+            server.moved();
             linger();
         }
     }
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -250,6 +250,11 @@
         unfinished.remove(connection);
     }
 
+    /** A client has been told to go, and may come again. */
+    void moved() {
+        lastMoveAt = System.nanoTime();
+    }
+
     void fellIdle(ClientConnection connection) {
         idle.add(connection);
     }
--- a/src/main/java/pipitstage/relay/Notices.java
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -21,6 +21,7 @@
     private static final long PAUSE_MS = 50;
     /** Keeps a request, whose ids have 200 characters at the most, within the 64 KiB that a body may have. */
     private static final int MOST_IN_A_REQUEST = 200;
+    private static final int TELL_EACH = 4;
     private static final int HEARD = 204;
     private static final int UNREADABLE = 400;
 
@@ -32,6 +33,7 @@
     private final Map<Long, Message> unheard = new LinkedHashMap<>();
     private int most = MOST_IN_A_REQUEST;
     private boolean busy;
+    private int inVain;
 
     Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
         this.loop = loop;
@@ -68,6 +70,7 @@
                 Log.line("the notice of message " + told.get(0).content.callId() + " was not understood");
             }
             most = MOST_IN_A_REQUEST;
+            inVain = 0;
             told.forEach(message -> unheard.remove(message.number));
             told.forEach(heard);
             post();
@@ -76,6 +79,10 @@
         if (status == UNREADABLE) {
             most = 1;
         }
+        // One line for a loss that a second request mends would only say what the network does all day.
+        if (++inVain % TELL_EACH == 0) {
+            Log.line(unheard.size() + " notices are unheard after " + inVain + " requests in vain, status " + status);
+        }
         loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/pipitstage/relay/Pulse.java
+++ b/src/main/java/pipitstage/relay/Pulse.java
@@ -10,6 +10,8 @@
 final class Pulse {
     /** Every message counts as up to two beats older than it is. */
     private static final long BEAT_MS = 10;
+    /** Most of what a notice, or a client's answer, has; staff are told, as every relay short of CPU looks faulty. */
+    private static final long TOLD_LAG = 250_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -27,6 +29,9 @@
     void start() {
         beforeLast = last;
         last = clock.micros();
+        if (last - beforeLast > TOLD_LAG) {
+            Log.line("the loop stood still for " + (last - beforeLast) / 1000 + " ms");
+        }
         loop.schedule(this::start, BEAT_MS, TimeUnit.MILLISECONDS);
     }
 
