Tell notices that go unanswered again twice within the time they have

All that end in one moment, a clump for one destination above all, are told with one request. Where that one or its answer fell silent, the next went out 250 ms later (Notices.PATIENCE_MS 200, PAUSE_MS 50) on a new connection, and what ended up to 37 ms after its time (traced) was heard some 300 ms after it or later: the whole clump is lost at 300. The answer comes at once, so 80 ms are waited for, twice as long after each silence, and silence needs no pause: the third request goes 240 ms after the first.

--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -70,7 +70,7 @@
         this.journal = journal;
         policy = module.apply(config.settings());
         hosts = new HostClient(loop, clock, config, this);
-        notices = new Notices(loop, config.discovery(), this::noticeHeard);
+        notices = new Notices(loop, new AgentClient(loop, config.discovery()), this::noticeHeard);
         classes = new Classes(settings);
         stats.know(classes.names());
         nextNumber = journal.nextNumber();
--- a/src/main/java/pipitstage/relay/Notices.java
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -16,8 +16,13 @@
 
 /** Tells the platform of messages that ended undelivered, each until it has been heard. */
 final class Notices {
-    /** A message is lost 300 ms after its time is up: what goes unanswered has to be said again by then. */
-    private static final long PATIENCE_MS = 200;
+    /**
+     * A message is lost 300 ms after its time is up, and the answer comes at once: what goes unanswered has to be said
+     * again by then, twice over, as all that ended in one moment is told with one request. Twice as long after each
+     * further one, so that an agent that has become slow is heard in the end.
+     */
+    private static final long PATIENCE_MS = 80;
+    private static final long LONGEST_PATIENCE_MS = 640;
     private static final long PAUSE_MS = 50;
     /** Keeps a request, whose ids have 200 characters at the most, within the 64 KiB that a body may have. */
     private static final int MOST_IN_A_REQUEST = 200;
@@ -26,7 +31,7 @@
     private static final int UNREADABLE = 400;
 
     private final EventLoop loop;
-    private final AgentClient agent;
+    private final Discovery.Agent agent;
     private final Consumer<Message> heard;
     private final JsonFactory json = new JsonFactory();
     /** What has not been heard yet, by number, in the order decided. */
@@ -35,10 +40,10 @@
     private boolean busy;
     private int inVain;
 
-    Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
+    Notices(EventLoop loop, Discovery.Agent agent, Consumer<Message> heard) {
         this.loop = loop;
         this.heard = heard;
-        agent = new AgentClient(loop, address);
+        this.agent = agent;
     }
 
     /** Tells how a message ended; what is said while an earlier request is out goes with the next one. */
@@ -58,10 +63,15 @@
         busy = !unheard.isEmpty();
         if (busy) {
             List<Message> told = unheard.values().stream().limit(most).toList();
-            agent.request(HttpMethod.POST, "/status", lines(told), PATIENCE_MS, (status, body) -> answered(told, status));
+            agent.request(HttpMethod.POST, "/status", lines(told), patience(),
+                    (status, body) -> answered(told, status));
         }
     }
 
+    private long patience() {
+        return Math.min(LONGEST_PATIENCE_MS, PATIENCE_MS << Math.min(inVain, Byte.SIZE));
+    }
+
     private void answered(List<Message> told, int status) {
         // Guards against one notice that can't be read, which would hold up all that are told with it.
         boolean lost = status == UNREADABLE && told.size() == 1;
@@ -83,7 +93,8 @@
         if (++inVain % TELL_EACH == 0) {
             Log.line(unheard.size() + " notices are unheard after " + inVain + " requests in vain, status " + status);
         }
-        loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS);
+        // Silence has taken its time already.
+        loop.schedule(this::post, status == AgentClient.SILENT ? 0 : PAUSE_MS, TimeUnit.MILLISECONDS);
     }
 
     private String lines(List<Message> told) {
