Let a message's time end sooner here than at its client, as a relay may stand still

Lines: ClientRequest.content took the client's time whole, so ends fell due at the very end of it. Half a second of it, at most a tenth, is kept for the end now: what the rule leaves (300 ms) and that bear a stall of 0.75 s. The module is told the earlier time, so calls end by it as well. ClientRequestTest fails without it.

--- a/src/main/java/pipitstage/relay/ClientRequest.java
+++ b/src/main/java/pipitstage/relay/ClientRequest.java
@@ -16,6 +16,12 @@
 /** A client's request as it comes in: whether it can be read at all, and the message that it holds. */
 final class ClientRequest {
     private static final int MOST_BODY = 64 << 10;
+    /**
+     * How much sooner a message's time is up here than at its client. Its end has to be heard 300 ms after that one at
+     * the latest, and a relay with a part of a core may stand still for longer just then.
+     */
+    private static final long LEAD = 500_000;
+    private static final int LARGEST_LEAD = 10; // of the time that there is
     private static final Pattern TOKEN = Pattern.compile("[\\x21-\\x7e]{1,200}");
     private static final Pattern MILLIS = Pattern.compile("\\d{1,9}");
     private static final Pattern CONSIGNEE = Pattern.compile("(?:.*[;,\\s])?dest=(\\d{1,9})(?:[;,\\s].*)?");
@@ -73,7 +79,7 @@
 
     /**
      * The message that the request holds, or null where a header is missing or makes no sense. Its time counts from
-     * when the client sent it, so that bytes that waited unread leave less of it.
+     * when the client sent it, so that bytes that waited unread leave less of it, and some of it is kept for its end.
      */
     Message.Content content() {
         HttpHeaders headers = head.headers();
@@ -87,7 +93,9 @@
                 || key != null && !TOKEN.matcher(key).matches()) {
             return null;
         }
-        return new Message.Content(callId, requestClass, tenant, key, came + Long.parseLong(budget) * 1000,
-                Integer.parseInt(consignee.group(1)), ByteBufUtil.getBytes(body));
+        long span = Long.parseLong(budget) * 1000;
+        long deadline = came + span - Math.min(LEAD, span / LARGEST_LEAD);
+        return new Message.Content(callId, requestClass, tenant, key, deadline, Integer.parseInt(consignee.group(1)),
+                ByteBufUtil.getBytes(body));
     }
 }
--- /dev/null
+++ b/src/test/java/pipitstage/relay/ClientRequestTest.java
@@ -0,0 +1,31 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.Test;
+
+class ClientRequestTest {
+    private static long deadline(long cameAt, String budgetMs) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api");
+        head.headers().set(ClientServer.CALL_ID, "m1").set("X-Call-Class", "safe").set(ClientServer.BUDGET, budgetMs)
+                .set("X-Consignee", "dest=7");
+        ClientRequest request = new ClientRequest(head);
+        request.cameAt(cameAt);
+        return request.content().deadline();
+    }
+
+    @Test
+    void endIsDueSoEarlyThatItIsHeardInTimeAfterARelayStoodStill() {
+        assertEquals(1_000_000 + 19_500_000, deadline(1_000_000, "20000"));
+    }
+
+    @Test
+    void mostOfAShortTimeIsLeftForTheMessageItself() {
+        assertEquals(1_000_000 + 900_000, deadline(1_000_000, "1000"));
+        assertEquals(1_000_000, deadline(1_000_000, "0"));
+    }
+}
