Read once more before a call is given up

An answer that comes after a pass has read, and before the timer or the module of the same pass gives the call up, was dropped with the connection: TIMEOUT or CANCELLED for what the host has answered, so a message that may take effect once failed though it was delivered, and others went again. Found by going through HostCall.giveUp asking what can come before it; no play shows it by itself. Ruled out: two outcomes for one attempt (parts are removed first; tested the other way round as well). IdleHostConnectionTest.callIsNotGivenUpWhoseAnswerHasComeSinceTheLastRead fails without it (expected: <OK> but was: <CANCELLED>).

--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -332,6 +332,10 @@
      * call for out that nobody waits for.
      */
     void giveUp(Message.Attempt attempt, Result result) {
+        // Guards against giving up a call whose answer has come since this pass has read.
+        if (connection != null && parts.containsKey(attempt)) {
+            connection.readNow();
+        }
         if (!parts.containsKey(attempt)) {
             return;
         }
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -122,10 +122,17 @@
 
     /** False where the host has closed it meanwhile: a call on it would end as one that may have run. */
     boolean isUsable() {
-        ((AbstractNioChannel) context.channel()).unsafe().read();
+        readNow();
         return context.channel().isActive();
     }
 
+    /** Reads what has come so far, without waiting for the loop's next pass. */
+    void readNow() {
+        if (context.channel().isActive()) {
+            ((AbstractNioChannel) context.channel()).unsafe().read();
+        }
+    }
+
     /** Closes under a call that the relay itself has given up: nothing of it is to be told any more. */
     void drop() {
         call = null;
--- a/src/test/java/pipitstage/relay/IdleHostConnectionTest.java
+++ b/src/test/java/pipitstage/relay/IdleHostConnectionTest.java
@@ -138,6 +138,36 @@
         assertEquals(2, ended.size());
     }
 
+    @Test
+    void callIsNotGivenUpWhoseAnswerHasComeSinceTheLastRead() throws Exception {
+        rested();
+        host.answer(request -> StubPeer.SILENCE);
+        Message.Attempt attempt = onLoop(() -> send("second"));
+        await(() -> host.hasCallFor("second"));
+        loop.submit(() -> {
+            write(status(200));
+            client.cancel(attempt);
+        }).sync();
+        await(() -> ended.size() == 2);
+        assertEquals(Result.OK, ended.get(1));
+    }
+
+    @Test
+    void callThatIsGivenUpEndsOnceThoughItsAnswerComesAfterAll() throws Exception {
+        rested();
+        host.answer(request -> StubPeer.SILENCE);
+        Message.Attempt attempt = onLoop(() -> send("second"));
+        await(() -> host.hasCallFor("second"));
+        loop.submit(() -> {
+            client.cancel(attempt);
+            write(status(200));
+        }).sync();
+        loop.submit(() -> { }).sync();
+        assertEquals(List.of(Result.OK, Result.CANCELLED), ended);
+        await(() -> onLoop(client::connections) == 0);
+        assertEquals(0, onLoop(client::callsOut));
+    }
+
     private void write(String bytes) {
         try {
             host.connections.get(0).getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
