Bound a call's time-out by its message's own deadline

Ruled out: giving way where slots are wanted (dropOverdue) helps only while others wait. Line: Logic.timeout. ShortDeadlineTest.messageThatMayBeRepeatedGoesToAnotherRouteWhileThereIsTime fails without it, for both kinds of repeat.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -54,7 +54,7 @@
     private static final double WANTED_RATIO = 5;
     private static final long TEST_TIMEOUT = 1_500_000; // a longer test has told enough
     private static final double TEST_RATIO = 4; // where the usual response is long
-    private static final double LONGEST_SPAN = 0.7; // of the longest deadline: no message waits for more
+    private static final double LONGEST_SPAN = 0.7; // of the longest deadline, or of its own
     private static final long FIRST_GUESS = 400_000; // response before the first answer
     private static final long STALE = 5_000_000; // a response so old says nothing of now
 
@@ -1197,13 +1197,13 @@
     }
 
     private long timeout(Request request, Call call) {
-        boolean last = request.type.repeat() == Repeat.ONCE
-                || request.attempts.size() >= request.maxAttempts;
+        boolean last = request.type.repeat() == Repeat.ONCE || request.attempts.size() >= request.maxAttempts;
         if (last) {
             return 0;
         }
+        double usual = Math.max(TIMEOUT_FLOOR, OVERDUE_RATIO * response(call.route));
         return call.test || isOut(call.route) ? testTimeout(call.route)
-                : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
+                : (long) Math.min(usual, LONGEST_SPAN * request.type.deadline());
     }
 
     /** Guards against spans that no message has: no circuit would open by silence, nor close by a test. */
--- a/src/test/java/pipitstage/ShortDeadlineTest.java
+++ b/src/test/java/pipitstage/ShortDeadlineTest.java
@@ -26,6 +26,18 @@
                 Policy.RateHint.NONE, 0)).list(route("a", 1, "plain", "east"));
     }
 
+    @ParameterizedTest
+    @EnumSource(names = "ONCE", mode = EnumSource.Mode.EXCLUDE)
+    void messageThatMayBeRepeatedGoesToAnotherRouteWhileThereIsTime(Repeat repeat) {
+        Relay relay = relay(repeat).list(route("a", 1, "plain", "east"), route("b", 1, "plain", "east"));
+        relay.round(new Policy.Accepted(1, "brief", null, "k", relay.now + DEADLINE, 1));
+        Relay.Sent silent = relay.sent.get(0);
+        assertTrue(silent.timeout() > 0 && silent.timeout() <= DEADLINE * 3 / 4, "waits for ms: " + silent.timeout() / MS);
+        relay.pass(silent.timeout());
+        relay.answer(1, Result.TIMEOUT);
+        assertTrue(relay.sent.size() == 2 && !relay.sent.get(1).route().equals(silent.route()), relay.sent.toString());
+    }
+
     private static void pass(Relay relay, long span, boolean answers) {
         for (long end = relay.now + span; relay.now < end;) {
             relay.pass(50 * MS);
