Take a message's age from its true end though its time ends sooner here

The module takes an age to be the class's deadline less what is left, so the half second kept for the end made each message half a second older, past its aim too soon, and what would be late goes behind what is new (Logic.value, loss). Whether all of the loss comes from it is measured next. The terms that go with a message are shorter by the same span.

--- a/src/main/java/pipitstage/relay/Classes.java
+++ b/src/main/java/pipitstage/relay/Classes.java
@@ -32,11 +32,17 @@
     private void take(Policy.Settings settings) {
         present = new HashMap<>();
         int attempts = settings.limits().maxAttempts();
-        settings.classes().forEach(type -> present.put(type.name(), new Terms(type, attempts)));
+        settings.classes().forEach(type -> present.put(type.name(), new Terms(ending(type), attempts)));
         tenants.clear();
         settings.tenants().forEach(tenant -> tenants.add(tenant.name()));
     }
 
+    /** Guards against a message that looks older than it is: what it earns goes by its age, which counts from its end. */
+    private static RequestClass ending(RequestClass type) {
+        return new RequestClass(type.name(), type.repeat(), type.keyScope(), type.keyWindow(), type.goal(),
+                type.deadline() - ClientRequest.lead(type.deadline()), type.worth(), type.lateWorth(), type.inOrder());
+    }
+
     void change(Policy.Settings settings, long now) {
         former = present;
         changedAt = now;
--- a/src/main/java/pipitstage/relay/ClientRequest.java
+++ b/src/main/java/pipitstage/relay/ClientRequest.java
@@ -68,6 +68,11 @@
         return true;
     }
 
+    /** How much of a span is kept for the end. */
+    static long lead(long span) {
+        return Math.min(LEAD, span / LARGEST_LEAD);
+    }
+
     /** The request is whole; its last byte can have come no earlier than this. */
     void cameAt(long time) {
         came = time;
@@ -94,7 +99,7 @@
             return null;
         }
         long span = Long.parseLong(budget) * 1000;
-        long deadline = came + span - Math.min(LEAD, span / LARGEST_LEAD);
+        long deadline = came + span - lead(span);
         return new Message.Content(callId, requestClass, tenant, key, deadline, Integer.parseInt(consignee.group(1)),
                 ByteBufUtil.getBytes(body));
     }
