Start with classes whose goal lies within a tenth of their deadline

Cause: Classes.ending took the margin for a message's end off the class's deadline and built a RequestClass that ends before its goal, which that record refuses: such a configuration ended the start with a stack trace, and a reload with an error in the loop. ClassesTest.classWhoseGoalIsCloseToItsDeadlineIsTaken fails without the mend (IllegalArgumentException: goal and deadline of class close).

--- a/src/main/java/pipitstage/relay/Classes.java
+++ b/src/main/java/pipitstage/relay/Classes.java
@@ -39,8 +39,10 @@
 
     /** Guards against a message that looks older than it is: what it earns goes by its age, which counts from its end. */
     private static RequestClass ending(RequestClass type) {
-        return new RequestClass(type.name(), type.repeat(), type.keyScope(), type.keyWindow(), type.goal(),
-                type.deadline() - ClientRequest.lead(type.deadline()), type.worth(), type.lateWorth(), type.inOrder());
+        // Guards against a goal so close to the deadline that the class would end before it.
+        long deadline = Math.max(type.goal() + 1, type.deadline() - ClientRequest.lead(type.deadline()));
+        return new RequestClass(type.name(), type.repeat(), type.keyScope(), type.keyWindow(), type.goal(), deadline,
+                type.worth(), type.lateWorth(), type.inOrder());
     }
 
     void change(Policy.Settings settings, long now) {
--- a/src/test/java/pipitstage/relay/ClassesTest.java
+++ b/src/test/java/pipitstage/relay/ClassesTest.java
@@ -73,4 +73,11 @@
         long deadline = came + span - ClientRequest.lead(span);
         assertEquals(came, deadline - classes.of(content("long", null), 0).type().deadline());
     }
+
+    @Test
+    void classWhoseGoalIsCloseToItsDeadlineIsTaken() {
+        Classes classes = new Classes(settings(12, new Policy.RequestClass("close", Repeat.ONCE, KeyScope.ALL, 0, 9_500_000, 10_000_000, 1, 0.3,
+                false)));
+        assertEquals(9_500_001, classes.of(content("close", null), 0).type().deadline());
+    }
 }
