End a message as its class allows no further attempt, not at its deadline

Cause: Logic.tryAgain ended only classes that may take effect once; for a keyed one allowed() was false for good. Now it ends as the window passes, and fails, as one that may not be repeated. Results that prove that nothing ran moved to Policy.Result.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -97,7 +97,7 @@
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<String, OrderLine> lines = new HashMap<>();
     private static final Comparator<Request> BY_END =
-            Comparator.<Request>comparingLong(r -> r.deadline).thenComparingLong(r -> r.id);
+            Comparator.<Request>comparingLong(r -> r.endsAt).thenComparingLong(r -> r.id);
     private final TreeSet<Request> ends = new TreeSet<>(BY_END);
     private final Resumption resumption = new Resumption();
     /** Destinations with messages waiting: a round costs what these cost, however many are known. */
@@ -272,7 +272,7 @@
                     .filter(r -> isListed(r) && now >= owedAt(request, r)).toList();
             if (!open.isEmpty() && out.size() < slots()) {
                 Route route = draw(open);
-                boolean cold = isOut(route) || releasing(route.group);
+                boolean cold = isOut(route) || releasing(route.group.releasedAt);
                 route.group.nextOwedAt = cold ? now + interval(releaseRate(route.group, now)) : now;
                 call(request, route, false);
             }
@@ -331,7 +331,8 @@
     }
 
     private boolean refusable(Request request) {
-        return repeatsAnywhere(request.type) || firstThatMayHaveRun(request) == null;
+        return firstThatMayHaveRun(request) == null
+                || repeatsAnywhere(request.type) && now < repeatableUntil(request);
     }
 
     private static boolean repeatsAnywhere(RequestClass type) {
@@ -390,7 +391,7 @@
 
     /** Guards, in a process that ends, against leaving to the next one what it can't try in time any more. */
     private boolean isOver(Request request) {
-        return request.deadline <= now + (ending ? RESTART : 0);
+        return request.endsAt <= now + (ending ? RESTART : 0);
     }
 
     /** Ends what has run out of time; an attempt still out reports its own time-out. */
@@ -466,27 +467,23 @@
 
     private void rest(Request request, Result result) {
         boolean answered = result == Result.OK || result == Result.ERROR;
-        if (request.key != null && !answered && !neverRan(result)) {
+        if (request.key != null && !answered && !result.neverRan()) {
             lines.get(request.key).restUntil = now + settings.rules().orderPause();
             actions.remind(WAKE, settings.rules().orderPause());
         }
     }
 
-    /** Which results prove that an attempt took no effect. */
-    private static boolean neverRan(Result result) {
-        return result == Result.FULL || result == Result.CROWDED || result == Result.CONNECT_FAILED
-                || result == Result.NOT_SENT;
-    }
-
     private static Attempt firstThatMayHaveRun(Request request) {
-        return request.attempts.stream().filter(a -> a.result == null || !neverRan(a.result)).findFirst()
-                .orElse(null);
+        return request.attempts.stream().filter(past -> past.result == null || !past.result.neverRan())
+                .findFirst().orElse(null);
     }
 
     private void tryAgain(Request request) {
-        boolean spent = request.attempts.size() >= request.maxAttempts;
-        boolean once = request.type.repeat() == Repeat.ONCE;
-        if (isOver(request) || spent || once && firstThatMayHaveRun(request) != null) {
+        // Guards against a message that waits for an attempt which its class allows no more.
+        ends.remove(request);
+        request.endsAt = Math.min(request.deadline, repeatableUntil(request));
+        ends.add(request);
+        if (isOver(request) || request.attempts.size() >= request.maxAttempts) {
             end(request);
         } else {
             hold(request);
@@ -606,7 +603,7 @@
         if (group.reports || route.circuit.state == CircuitState.OPEN) {
             report(group, Word.FAILED);
         }
-        if (releasing(group)) {
+        if (releasing(group.releasedAt)) {
             // Guards against release into an outage that goes on: a failure puts the release back.
             group.releasedAt = now;
         }
@@ -675,7 +672,7 @@
             circuit.openedAt = now;
             circuit.bySilence = bySilence;
             if (circuit == group.circuit) {
-                if (!releasing(group)) {
+                if (!releasing(group.releasedAt)) {
                     group.usualRate = rate(group.sent);
                 }
                 String why = bySilence ? ", silent" : "";
@@ -743,8 +740,8 @@
         return Math.max(rate(group.sent), rate(group.latest) * others);
     }
 
-    private boolean releasing(Group group) {
-        return now - group.releasedAt < settings.rules().warmUp();
+    private boolean releasing(long since) {
+        return now - since < settings.rules().warmUp();
     }
 
     /** How much of its usual calls a destination bears since its return: it warms up evenly. */
@@ -761,11 +758,12 @@
     }
 
     private double paceOf(Group group) {
-        return releasing(group) ? Math.min(group.pace, releaseRate(group, group.releasedAt)) : group.pace;
+        long since = group.releasedAt;
+        return releasing(since) ? Math.min(group.pace, releaseRate(group, since)) : group.pace;
     }
 
     private static long interval(double rate) {
-        return rate == Double.POSITIVE_INFINITY ? 0 : (long) (SECOND / rate);
+        return (long) (SECOND / rate); // 0 where the rate is not bounded
     }
 
     /** When a call is overdue by its route's own measure: it will hardly be answered any more. */
@@ -887,18 +885,18 @@
         if (first == null || request.type.repeat() == Repeat.REPEATABLE) {
             return true;
         }
-        boolean late = request.type.repeat() == Repeat.ONCE || now >= repeatableUntil(request);
-        return !late && switch (request.type.keyScope()) {
+        return now < repeatableUntil(request) && switch (request.type.keyScope()) {
             case ALL -> true;
             case ZONE -> first.call.route != null && first.call.route.zone.equals(route.zone);
             case CELL -> first.call.route == route;
         };
     }
 
-    /** Until when another attempt may leave. */
+    /** Until when another attempt may leave; that of a class which may take effect once is over at once. */
     private static long repeatableUntil(Request request) {
-        Attempt first = request.type.repeat() == Repeat.BY_KEY ? firstThatMayHaveRun(request) : null;
-        return first == null ? Long.MAX_VALUE : first.call.sentAt + request.type.keyWindow();
+        Attempt first = request.type.repeat() == Repeat.REPEATABLE ? null : firstThatMayHaveRun(request);
+        long window = request.type.repeat() == Repeat.ONCE ? 0 : request.type.keyWindow();
+        return first == null ? Long.MAX_VALUE : first.call.sentAt + window;
     }
 
     private Route pick(Request request, List<Route> usable) {
@@ -1102,8 +1100,8 @@
         double limit = limit(group) == 0 ? LEAST_PACE : limit(group);
         keeper.factor = Math.min(MOST_FACTOR, keeper.factor * growth(keeper.grownAt));
         keeper.grownAt = now;
-        boolean warm = now - keeper.upAt >= settings.rules().warmUp();
-        return limit * (warm ? keeper.factor : Math.min(keeper.factor, bearable(keeper.upAt)));
+        double cold = releasing(keeper.upAt) ? bearable(keeper.upAt) : keeper.factor;
+        return limit * Math.min(keeper.factor, cold);
     }
 
     private boolean waits(Group group) {
@@ -1284,7 +1282,7 @@
     }
 
     private void arm() {
-        long wake = ends.isEmpty() ? Long.MAX_VALUE : ends.first().deadline;
+        long wake = ends.isEmpty() ? Long.MAX_VALUE : ends.first().endsAt;
         for (Request request : resumption.owed) {
             for (Route route : request.destination.routes.values()) {
                 long at = owedAt(request, route);
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -36,7 +36,14 @@
     enum KeyScope { ALL, ZONE, CELL }
 
     /** How an attempt ended; {@code CROWDED}: turned away as its destination's connections are taken, not its limit. */
-    enum Result { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT, CROWDED }
+    enum Result {
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT, CROWDED;
+
+        /** True where it proves that the attempt took no effect. */
+        public boolean neverRan() {
+            return this == FULL || this == CROWDED || this == CONNECT_FAILED || this == NOT_SENT;
+        }
+    }
 
     /** What the rate listed with a route is worth: nothing, exact, or up to half too high or too low. */
     enum RateHint { NONE, NOMINAL, ROUGH }
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -191,6 +191,8 @@
         final String key;
         final long acceptedAt;
         final long deadline;
+        /** When it ends where it has not been delivered: sooner than its deadline once no attempt is allowed any more. */
+        long endsAt;
         final Destination destination;
         final List<Attempt> attempts = new ArrayList<>();
         int out;
@@ -204,6 +206,7 @@
             maxAttempts = terms.maxAttempts();
             key = type.inOrder() ? e.key() : null;
             deadline = e.deadline();
+            endsAt = deadline;
             acceptedAt = deadline - type.deadline();
             this.destination = destination;
         }
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -379,6 +379,16 @@
         assertEquals(1, relay.sends(1));
     }
 
+    @Test
+    void keyedMessageThatMayHaveRunEndsAsItsWindowPasses() {
+        relay.accept(1, "keyed", 2).list(route("a", 1, "plain", "east")).answer(1, Result.RESET);
+        relay.pass(5_900 * MS);
+        assertEquals(List.of(), relay.failed);
+        relay.pass(200 * MS);
+        assertEquals(List.of(1L), relay.failed, "no attempt is allowed any more");
+        assertEquals(List.of(), relay.refused, "its client would hand it in again");
+    }
+
     @Test
     void keyedRepeatStaysInItsZoneAndWindow() {
         for (int id = 1_000; id < 1_016; id++) {
