Ask discovery again within five seconds of the start of a call that failed

New term: whatever is allowed after failed, refused or given-up calls, a change counts as told 6 s after discovery had it and could be reached. Cause: Discovery paused up to 4.8 s after a failure, and the call before it may have taken 3 s, or 4.7 s for a watch: 7.8 s and more. Now the pause leaves 5 s from the start of the failed call to the next one, and a watch after a failure waits 0.5 s instead of 2 to 3.5 s. Pauses are measured by the event loop's own clock, which the test sets.

--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -39,9 +39,16 @@
      * before leaves its work there behind, and asking anew each time never comes to an answer.
      */
     private static final long PATIENCE_MS = 3000;
-    /** After a failure, twice as long after each further one; far below the span in which a relay has to ask. */
-    private static final long PAUSE_MS = 400;
-    private static final long LONGEST_PAUSE_MS = 3200;
+    /** After a failure, twice as long after each further one. */
+    private static final long RETRY_PAUSE_MS = 400;
+    private static final int MOST_DOUBLINGS = 4;
+    /**
+     * From the start of a call that failed to the start of the next one, at most. Whatever is allowed after a failure, a
+     * change counts as told 6 s after discovery had it and could be reached: that leaves a second for the answer.
+     */
+    static final long LONGEST_RETRY_ROUND_MS = 5000;
+    /** How long a watch waits for news after a failure: one that falls silent again must leave time for another. */
+    private static final long RETRY_WAIT_MS = 500;
     /** What the new address has to tell counts as told 4 s after the signal: there is time for several calls by then. */
     private static final long MOVED_TOLD_MS = 4000;
     private static final long LONGEST_MOVED_PAUSE_MS = 800;
@@ -144,11 +151,11 @@
     }
 
     private void ask() {
-        askedAt = System.nanoTime();
+        askedAt = loop.ticker().nanoTime();
         if (version < 0 || whole || !watches) {
             agent.request(HttpMethod.GET, "/api/targets", "", PATIENCE_MS, this::answered);
         } else {
-            long wait = SHORTEST_WAIT_MS + upTo(LONGEST_WAIT_MS - SHORTEST_WAIT_MS);
+            long wait = failures > 0 ? RETRY_WAIT_MS : SHORTEST_WAIT_MS + upTo(LONGEST_WAIT_MS - SHORTEST_WAIT_MS);
             agent.request(HttpMethod.GET, "/api/targets?after=" + version + "&wait_ms=" + wait, "",
                     wait + LATE_MS, this::answered);
         }
@@ -160,7 +167,7 @@
         moved &= !taken;
         // Guards against what a call that fell silent has missed, which counts as told soon: the first one after it need
         // not wait, as discovery has not turned anything away.
-        long pause = !taken ? status == AgentClient.SILENT && failures == 0 ? BREATH_MS : failurePause()
+        long pause = !taken ? status == AgentClient.SILENT && failures == 0 ? BREATH_MS : retryPause()
                 : !watches ? fetchPause() : version > before ? spread(afterNews) : BREATH_MS;
         tell(taken, status);
         askIn(pause);
@@ -174,13 +181,21 @@
         nextAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
-    private long failurePause() {
-        long longest = moved ? LONGEST_MOVED_PAUSE_MS : LONGEST_PAUSE_MS;
-        return spread(Math.min(longest, PAUSE_MS << Math.min(failures, Byte.SIZE)));
+    private long retryPause() {
+        long growing = RETRY_PAUSE_MS << Math.min(failures, MOST_DOUBLINGS);
+        if (moved) {
+            return spread(Math.min(LONGEST_MOVED_PAUSE_MS, growing));
+        }
+        long longest = Math.max(BREATH_MS, LONGEST_RETRY_ROUND_MS - sinceAsked());
+        return Math.min(spread(growing), longest / 2 + upTo(longest / 2));
+    }
+
+    private long sinceAsked() {
+        return TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - askedAt);
     }
 
     private long fetchPause() {
-        long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedAt);
+        long took = sinceAsked();
         long pause = Math.max(BREATH_MS, Math.min(longestRound - took,
                 Math.max(FETCH_PAUSE_MS, PAUSES_AN_ANSWER * took)));
         return pause * 3 / 4 + upTo(pause / 4);
--- a/src/test/java/pipitstage/relay/SilentDiscoveryTest.java
+++ b/src/test/java/pipitstage/relay/SilentDiscoveryTest.java
@@ -10,8 +10,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import pipitstage.Policy;
 import pipitstage.Policy.ListKind;
@@ -21,6 +24,9 @@
     private static final long TOLD_MS = 6000;
     /** Or so long after the wait of a call that may wait, if that is later. */
     private static final long TOLD_AFTER_WAIT_MS = 2000;
+    /** What a discovery that serves a whole fleet takes for an answer. */
+    private static final long ANSWER_MS = 1000;
+    private static final int SEEDS = 10;
     private static final Pattern WAIT = Pattern.compile("wait_ms=(\\d+)");
 
     private record Call(long at, String path, long timeout, AgentClient.Answer answer) {
@@ -127,6 +133,42 @@
                 new Policy.Rules(0, graceMs * 1000, 2, 1, 0.2, 1, 10_000_000, 0), 1, false, true, Policy.RateHint.NONE, 0);
     }
 
+    /** How calls end while discovery is gone. */
+    private enum Failure {
+        REFUSED(0), TURNED_AWAY(503), SILENT(AgentClient.SILENT);
+
+        final int status;
+
+        Failure(int status) {
+            this.status = status;
+        }
+    }
+
+    private static Stream<Arguments> outages() {
+        return Stream.of(Failure.values()).flatMap(failure -> Stream.of(1, 25, 120).flatMap(fleet ->
+                Stream.of(100L, 8_000L, 60_000L).map(gone -> Arguments.of(failure, fleet, gone))));
+    }
+
+    /** Small fleets watch, large ones fetch. */
+    @ParameterizedTest
+    @MethodSource("outages")
+    void listIsHeardWithinSixSecondsOfTheReturn(Failure failure, int fleet, long gone) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            calls.clear();
+            now = 0;
+            discovery(seed, fleet, 1000).start();
+            passToNextCall();
+            long back = now + gone;
+            while (now < back) {
+                Call failing = last();
+                pass(failure == Failure.SILENT ? failing.timeout() : 1);
+                failing.answer().come(failure.status, "");
+                passToNextCall();
+            }
+            assertTrue(last().at() + ANSWER_MS <= back + TOLD_MS, "back at " + back + ", asked anew at " + last().at());
+        }
+    }
+
     @Test
     void callsThatKeepFallingSilentAreMadeWithGrowingPauses() {
         discovery(5, 6, 1000).start();
