Cut a pace with a known limit by what was served, as where none is known

Cause: Logic.cut gave each relay the listed limit over twelve senders at the first refusal and never less than its limit over all relays after it. A hundred relays at that floor send the whole limit all the time, and more; where refused calls use the limit up, none of it is served.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -31,8 +31,7 @@
     private static final double SERVE_GROWTH = 0.05; // at most by one serve
     private static final double SERVE_REGAIN = 0.25; // likewise, to what was refused last
     private static final double PACE_CUT = 0.5; // at most, where next to nothing is served
-    private static final double LEAST_PACE = 3; // of all relays, where no limit is known
-    private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
+    private static final double LEAST_PACE = 3; // of all relays, after refusals
     private static final long GROWTH_SPAN = 2_000_000; // one serve after a long rest proves little
     private static final long CUT_PAUSE = 500_000; // refusals so soon after a cut were sent before it
     private static final long CROWDED_PAUSE = 100_000; // about a call: a connection may be free after it
@@ -643,22 +642,17 @@
     }
 
     /**
-     * The limit over sender count, which refusals teach, where one is known: an equal part is too little for
-     * who has a clump. Else the part that was served of what went of late. Guards against a fleet that one
-     * refusal each brings far below a limit, or that stays above a low one, which refused calls use up.
+     * At first the limit over sender count, where one is known; then, or where none is, the part that was
+     * served of what went of late. Guards against a fleet that one refusal each brings far below a limit, or
+     * that stays above one, as no relay goes under its share while refused calls use the limit up.
      */
     private void cut(Group group) {
         double limit = limit(group);
         double went = Math.min(group.pace, lately(group));
         double served = group.servedSinceCut / (double) (group.servedSinceCut + group.refusedSinceCut);
-        if (limit > 0) {
-            boolean first = group.pace == Double.POSITIVE_INFINITY;
-            double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
-            group.pace = first ? Math.max(limit / senders, rate(group.served) / 2)
-                    : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
-        } else {
-            group.pace = Math.max(LEAST_PACE / settings.fleetSize(), went * Math.max(PACE_CUT, served));
-        }
+        boolean first = group.pace == Double.POSITIVE_INFINITY;
+        group.pace = limit > 0 && first ? Math.max(limit / settings.fleetSize(), rate(group.served) / 2)
+                : Math.max(LEAST_PACE / settings.fleetSize(), went * Math.max(PACE_CUT, served));
         // Guards against a row of refusals after which nothing tells any more what had been served before it.
         group.refusedPace = group.servedSinceCut > 0 ? went : Math.max(went, group.refusedPace);
         group.cutAt = now;
