Judge time-outs and tests by the time that their own message has

Where a destination gets only messages of 1.2 s and others have 20 s, every time-out there was taken for one of a message sent shortly before its end: its circuit never opened by silence, nor could a message test it. Now half of the message's own time bounds both (Logic.testTimeout).

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -443,7 +443,7 @@
         if (!call.judged) {
             call.judged = true;
             // Guards against blaming a route for a message that was sent shortly before its time was up.
-            boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(call.route);
+            boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(request, call.route);
             countLate(call, e.result(), e.elapsed());
             judge(call, early ? Result.NOT_SENT : e.result(), e.toldWait(), e.elapsed(), e.report());
         }
@@ -1135,7 +1135,7 @@
     private void sendTest(Destination destination, Route route, Circuit circuit) {
         // Guards against a test that only tells that its message's time was up.
         Request chosen = destination.waiting.stream()
-                .filter(r -> hasTurn(r) && allowed(r, route) && r.deadline - now >= testTimeout(route))
+                .filter(r -> hasTurn(r) && allowed(r, route) && r.deadline - now >= testTimeout(r, route))
                 .min(Comparator.comparingInt(Logic::testCost)).orElse(null);
         if (chosen == null) {
             return;
@@ -1203,6 +1203,11 @@
         return (long) Math.min(span, LONGEST_SPAN * longest);
     }
 
+    /** Guards against a destination that gets only brief messages of a mixed lot: none opens or tests it. */
+    private long testTimeout(Request request, Route route) {
+        return Math.min(testTimeout(route), request.type.deadline() / 2);
+    }
+
     private long testTimeout(Route route) {
         return bounded(Math.max(TEST_TIMEOUT, TEST_RATIO * response(route)));
     }
--- a/src/test/java/pipitstage/ShortDeadlineTest.java
+++ b/src/test/java/pipitstage/ShortDeadlineTest.java
@@ -5,6 +5,7 @@
 import static pipitstage.Relay.S;
 import static pipitstage.Relay.route;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,10 +19,11 @@
 class ShortDeadlineTest {
     private static final long DEADLINE = 1200 * MS;
 
-    private Relay relay(Repeat repeat) {
+    private Relay relay(Repeat repeat, RequestClass... others) {
         Policy.Settings usual = Relay.settings();
-        return new Relay(new Policy.Settings(usual.seed(), 0, 2, "east",
-                List.of(new RequestClass("brief", repeat, KeyScope.ALL, S, 400 * MS, DEADLINE, 1, 0.5, false)),
+        List<RequestClass> classes = new ArrayList<>(List.of(others));
+        classes.add(new RequestClass("brief", repeat, KeyScope.ALL, S, 400 * MS, DEADLINE, 1, 0.5, false));
+        return new Relay(new Policy.Settings(usual.seed(), 0, 2, "east", classes,
                 List.of(), usual.kinds(), usual.zones(), new Policy.Limits(10, 100, 6, true, false, false, false, false, S), usual.rules(), 1, false, false,
                 Policy.RateHint.NONE, 0)).list(route("a", 1, "plain", "east"));
     }
@@ -55,7 +57,18 @@
     @ParameterizedTest
     @EnumSource(Repeat.class)
     void silentRouteIsLeftAloneAndServesAgainOnceItAnswers(Repeat repeat) {
-        Relay relay = relay(repeat);
+        fallSilentAndServeAgain(relay(repeat));
+    }
+
+    /** Others have so much time that no test by a brief message would last as long as theirs. */
+    @ParameterizedTest
+    @EnumSource(Repeat.class)
+    void routeThatGetsOnlyBriefMessagesOfAMixedLotServesAgain(Repeat repeat) {
+        fallSilentAndServeAgain(relay(repeat,
+                new RequestClass("long", Repeat.REPEATABLE, KeyScope.ALL, 0, 2 * S, 20 * S, 1, 0.5, false)));
+    }
+
+    private static void fallSilentAndServeAgain(Relay relay) {
         long id = 0;
         for (int i = 0; i < 100; i++) {
             relay.round(new Policy.Accepted(id++, "brief", null, "k", relay.now + DEADLINE, 1));
