--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -111,7 +111,7 @@
     private boolean reports;
     /** The longest that a connection is kept idle. */
     private long idleSpan;
-    private final Rests rests;
+    private final IdleTimeout idleTimeout;
     private final int mostEver;
     private int mostConnections;
     private boolean retiring;
@@ -137,7 +137,7 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true);
         retune(config);
-        rests = new Rests(idleSpan, clock.micros());
+        idleTimeout = new IdleTimeout(idleSpan, clock.micros());
     }
 
     /** Goes by other settings from now on. */
@@ -379,17 +379,17 @@
     }
 
     private long keepFor() {
-        return rests.keepFor(idleSpan, clock.micros());
+        return idleTimeout.keepFor(idleSpan, clock.micros());
     }
 
     /** A call was answered whose connection had rested before. */
     void heldAfterRest(long rest) {
-        rests.held(rest, clock.micros());
+        idleTimeout.held(rest, clock.micros());
     }
 
     /** A connection broke under its call, after a rest. */
     void brokeAfterRest(long rest) {
-        if (rests.broke(rest, idleSpan, clock.micros())) {
+        if (idleTimeout.broke(rest, idleSpan, clock.micros())) {
             long kept = keepFor();
             Log.line("a connection broke after " + rest / 1000 + " ms idle, they are kept for " + kept / 1000 + " ms");
             idle.stream().filter(connection -> connection.rested() > kept).toList().forEach(HostConnection::close);
