--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -32,7 +32,7 @@
 
     private final Engine engine;
     private final Clock clock;
-    private final Pulse pulse;
+    private final EventLoopMonitor loopMonitor;
     private final int mostEver;
     private int mostConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -48,10 +48,10 @@
     /** When a client last came or went. */
     private long lastMoveAt = System.nanoTime();
 
-    ClientServer(Engine engine, Clock clock, Pulse pulse, int mostConnections) {
+    ClientServer(Engine engine, Clock clock, EventLoopMonitor loopMonitor, int mostConnections) {
         this.engine = engine;
         this.clock = clock;
-        this.pulse = pulse;
+        this.loopMonitor = loopMonitor;
         mostEver = mostConnections;
         this.mostConnections = mostConnections;
     }
@@ -102,12 +102,12 @@
 
     /** The earliest time at which a connection that is accepted now can have come. */
     long acceptableSince() {
-        return Math.min(leftSince, pulse.unreadSince());
+        return Math.min(leftSince, loopMonitor.unreadSince());
     }
 
     /** The earliest time at which bytes that are read now can have come. */
     long unreadSince() {
-        return pulse.unreadSince();
+        return loopMonitor.unreadSince();
     }
 
     /** Says from now on that clients had better go elsewhere; those that come are served as before. */
--- a/src/main/java/pipitstage/relay/Pulse.java
+++ b/src/main/java/pipitstage/relay/EventLoopMonitor.java
@@ -6,25 +6,25 @@
 
 /**
  * Tells since when bytes that are read now may have lain unread. A pass of the loop reads, then runs its timers:
- * what it reads had not come when the pass before it looked, and no pass runs two beats.
+ * what it reads had not come when the pass before it looked, and no pass runs two checks.
  */
-final class Pulse {
-    /** Every message counts as up to two beats older than it is. */
-    private static final long BEAT_MS = 10;
+final class EventLoopMonitor {
+    /** Every message counts as up to two intervals older than it is. */
+    private static final long CHECK_INTERVAL_MS = 10;
     /** Most of what a notice, or a client's answer, has; staff are told, as every relay short of CPU looks faulty. */
-    private static final long TOLD_LAG = 250_000;
+    private static final long LOGGED_STALL = 250_000;
 
     private final EventLoop loop;
     private final Clock clock;
-    private long last;
-    private long beforeLast;
+    private long lastCheck;
+    private long previousCheck;
     private LongConsumer stalled = span -> { };
 
-    Pulse(EventLoop loop, Clock clock) {
+    EventLoopMonitor(EventLoop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
-        last = clock.micros();
-        beforeLast = last;
+        lastCheck = clock.micros();
+        previousCheck = lastCheck;
     }
 
     /** Whom to tell how long the loop has stood still, in microseconds, each time. */
@@ -32,19 +32,19 @@
         stalled = listener;
     }
 
-    /** Beats from now on; until then everything counts as having come at the start. */
+    /** Checks from now on; until then everything counts as having come at the start. */
     void start() {
-        beforeLast = last;
-        last = clock.micros();
-        if (last - beforeLast > TOLD_LAG) {
-            Log.line("the loop stood still for " + (last - beforeLast) / 1000 + " ms");
-            stalled.accept(last - beforeLast);
+        previousCheck = lastCheck;
+        lastCheck = clock.micros();
+        if (lastCheck - previousCheck > LOGGED_STALL) {
+            Log.line("the loop stood still for " + (lastCheck - previousCheck) / 1000 + " ms");
+            stalled.accept(lastCheck - previousCheck);
         }
-        loop.schedule(this::start, BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::start, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** The earliest time at which what is read or accepted now can have come. */
     long unreadSince() {
-        return beforeLast;
+        return previousCheck;
     }
 }
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -28,7 +28,7 @@
     private final StateFolder state;
     private final Journal journal;
     private final Engine engine;
-    private final Pulse pulse;
+    private final EventLoopMonitor loopMonitor;
     private final Discovery discovery;
     private final ClientServer clients;
     private final SuccessorLink successor;
@@ -50,9 +50,9 @@
         discovery = new Discovery(loop, new AgentClient(loop, config.discovery()), config.settings(),
                 config.known().isEmpty() ? -1 : config.knownVersion(), engine);
         engine.onListWanted(discovery::askSoon);
-        pulse = new Pulse(loop, clock);
-        pulse.onStall(engine::stalled);
-        clients = new ClientServer(engine, clock, pulse, config.clientConnections());
+        loopMonitor = new EventLoopMonitor(loop, clock);
+        loopMonitor.onStall(engine::stalled);
+        clients = new ClientServer(engine, clock, loopMonitor, config.clientConnections());
         successor = new SuccessorLink(loop, this);
         serving = loop.newPromise();
     }
@@ -61,7 +61,7 @@
     void start() throws IOException {
         try {
             loop.submit(() -> {
-                pulse.start();
+                loopMonitor.start();
                 engine.start(config.knownVersion(), config.known(), state.own());
                 discovery.start();
                 successor.listen(state.own());
