--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import pipitstage.Policy;
 
 /** One client's connection: reads its requests, answers them in order, and gives up a client that stalls. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
@@ -367,10 +368,11 @@
 
     private void takeOn(ClientRequest request) {
         Message.Content content = request.content();
-        if (content == null || !engine.knows(content)) {
+        Policy.Terms terms = content == null ? null : engine.termsOf(content);
+        if (terms == null) {
             answer(HttpResponseStatus.BAD_REQUEST, 0);
         } else {
-            message = engine.takeOn(content, server.unreadSince(), this);
+            message = engine.takeOn(content, terms, server.unreadSince(), this);
         }
     }
 
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -291,12 +291,12 @@
     }
 
     /**
-     * True where the class, the tenant and the destination are known, or may be once discovery has told its
-     * list, and a key is there if one is needed.
+     * The terms for a message: null where its class or its tenant is not known, or it lacks the key it needs, or where
+     * its destination is not known, unless discovery is still to tell its list.
      */
-    boolean knows(Message.Content content) {
-        return classes.of(content, clock.micros()) != null
-                && (destinations.contains(content.destination()) || !listTold);
+    Policy.Terms termsOf(Message.Content content) {
+        boolean mayBeReached = destinations.contains(content.destination()) || !listTold;
+        return mayBeReached ? classes.of(content, clock.micros()) : null;
     }
 
     /**
@@ -304,7 +304,7 @@
      * the end of the round, so that one who leaves meanwhile is noticed and one whose message ends at once hears
      * that instead. Null where the client has its answer already.
      */
-    Message takeOn(Message.Content content, long unreadSince, Message.ClientReply client) {
+    Message takeOn(Message.Content content, Policy.Terms terms, long unreadSince, Message.ClientReply client) {
         Message same = byCallId.get(content.callId());
         if (same != null) {
             // Guards against a client that sends a request once more since its connection closed on it. One
@@ -323,8 +323,7 @@
         long now = clock.micros();
         boolean behind = now - unreadSince > MOST_LAG;
         long margin = endMargin.of(now, content.deadline() - now);
-        Message message = new Message(nextNumber, content.shortened(margin),
-                EndMargin.shorten(classes.of(content, now), margin));
+        Message message = new Message(nextNumber, content.shortened(margin), EndMargin.shorten(terms, margin));
         message.deliverableUntil = content.deadline();
         String obstacle = !ready ? "not ready" : behind ? "behind" : !reachable ? "unknown destination"
                 : held >= settings.limits().maxOpen() ? "full" : !journal.accept(message) ? "no disk" : null;
