--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -1094,8 +1094,8 @@
         double limit = limit(group) == 0 ? LEAST_PACE : limit(group);
         keeper.factor = Math.min(MOST_FACTOR, keeper.factor * growth(keeper.grownAt));
         keeper.grownAt = now;
-        double cold = releasing(keeper.upAt) ? bearable(keeper.upAt) : keeper.factor;
-        return limit * Math.min(keeper.factor, cold);
+        boolean warm = !releasing(keeper.upAt);
+        return limit * (warm ? keeper.factor : Math.min(keeper.factor, bearable(keeper.upAt)));
     }
 
     private boolean waits(Group group) {
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -46,7 +46,7 @@
      * From the start of a call that failed to the start of the next one, at most. Whatever is allowed after a failure, a
      * change counts as told 6 s after discovery had it and could be reached: that leaves a second for the answer.
      */
-    static final long LONGEST_RETRY_ROUND_MS = 5000;
+    private static final long LONGEST_RETRY_ROUND_MS = 5000;
     /** How long a watch waits for news after a failure: one that falls silent again must leave time for another. */
     private static final long RETRY_WAIT_MS = 500;
     /** What the new address has to tell counts as told 4 s after the signal: there is time for several calls by then. */
@@ -136,7 +136,7 @@
 
     /** The list is wanted sooner than it would be asked for: what is known does not do for what is held. */
     void askSoon() {
-        if (!next.isDone() && nextAt - System.nanoTime() > TimeUnit.MILLISECONDS.toNanos(FIRST_MS)) {
+        if (!next.isDone() && nextAt - loop.ticker().nanoTime() > TimeUnit.MILLISECONDS.toNanos(FIRST_MS)) {
             askIn(upTo(FIRST_MS));
         }
     }
@@ -178,7 +178,7 @@
             next.cancel(false);
         }
         next = loop.schedule(this::ask, ms, TimeUnit.MILLISECONDS);
-        nextAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        nextAt = loop.ticker().nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
     private long retryPause() {
--- a/src/main/java/pipitstage/relay/EndMargin.java
+++ b/src/main/java/pipitstage/relay/EndMargin.java
@@ -15,7 +15,7 @@
      */
     static final long EXPECTED_STALL = 2_000_000;
     /** Of a message's time, at most: what is given up before seven tenths of its time is charged for. */
-    static final int LARGEST_PART = 4;
+    private static final int LARGEST_PART = 4;
     /** Stalls come in bursts of half a minute or so, as the machine is busy. */
     static final long REMEMBERED = 60_000_000;
 
--- a/src/main/java/pipitstage/relay/EventLoopMonitor.java
+++ b/src/main/java/pipitstage/relay/EventLoopMonitor.java
@@ -18,27 +18,24 @@
     private final Clock clock;
     private long lastCheck;
     private long previousCheck;
-    private LongConsumer stalled = span -> { };
+    private final LongConsumer stalls;
 
-    EventLoopMonitor(EventLoop loop, Clock clock) {
+    /** Tells {@code stalls} how long the loop has stood still, in microseconds, each time. */
+    EventLoopMonitor(EventLoop loop, Clock clock, LongConsumer stalls) {
         this.loop = loop;
         this.clock = clock;
+        this.stalls = stalls;
         lastCheck = clock.micros();
         previousCheck = lastCheck;
     }
 
-    /** Whom to tell how long the loop has stood still, in microseconds, each time. */
-    void onStall(LongConsumer listener) {
-        stalled = listener;
-    }
-
     /** Checks from now on; until then everything counts as having come at the start. */
     void start() {
         previousCheck = lastCheck;
         lastCheck = clock.micros();
         if (lastCheck - previousCheck > LOGGED_STALL) {
             Log.line("the loop stood still for " + (lastCheck - previousCheck) / 1000 + " ms");
-            stalled.accept(lastCheck - previousCheck);
+            stalls.accept(lastCheck - previousCheck);
         }
         loop.schedule(this::start, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -50,8 +50,7 @@
         discovery = new Discovery(loop, new AgentClient(loop, config.discovery()), config.settings(),
                 config.known().isEmpty() ? -1 : config.knownVersion(), engine);
         engine.onListWanted(discovery::askSoon);
-        loopMonitor = new EventLoopMonitor(loop, clock);
-        loopMonitor.onStall(engine::stalled);
+        loopMonitor = new EventLoopMonitor(loop, clock, engine::stalled);
         clients = new ClientServer(engine, clock, loopMonitor, config.clientConnections());
         successor = new SuccessorLink(loop, this);
         serving = loop.newPromise();
--- a/src/test/java/pipitstage/FleetPaceTest.java
+++ b/src/test/java/pipitstage/FleetPaceTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import pipitstage.Policy.Availability;
@@ -21,17 +20,13 @@
     private static final long END = 50 * S;
     private static final long ANSWER_AFTER = 250 * MS;
     private static final long REFUSAL_AFTER = 40 * MS;
-    /** Of the refusals, how many tell how long to wait: until the second is over. */
+    /** Of the refusals, how many tell how long to wait: until the oldest call counted is a second old. */
     private static final double TELLS_WAIT = 0.6;
 
     private static final double LEAST = 0.7;
     private static final double LEAST_WHERE_REFUSALS_COUNT = 0.5;
 
-    private final List<Relay> relays = new ArrayList<>();
-    private final int[] seen = new int[RELAYS];
-    private final SplittableRandom random = new SplittableRandom(5);
     private final List<Answer> answers = new ArrayList<>();
-    private long nextId;
     private final ArrayDeque<Long> window = new ArrayDeque<>();
     private int served;
     private int refused;
@@ -43,13 +38,16 @@
         "3,1.3,NOMINAL,false", "3,1.3,NONE,false", "10,1.3,NOMINAL,false", "10,1.3,NONE,false", "30,1.3,NOMINAL,false", "30,1.3,NONE,false",
         "10,0.8,NOMINAL,true", "10,0.8,NONE,true", "10,1.3,NOMINAL,true", "10,1.3,NONE,true", "30,1.3,NOMINAL,true", "30,1.3,NONE,true"})
     void mostOfWhatTheDestinationTakesIsServed(int limit, double load, RateHint hint, boolean refusalsCount) {
-        for (int i = 0; i < RELAYS; i++) {
-            relays.add(new Relay(settings(i, hint)).list(new Policy.Listed("a", 1, "plain", "east", Availability.LISTED, limit)));
-        }
+        Policy.Listed listed = new Policy.Listed("a", 1, "plain", "east", Availability.LISTED, limit);
+        Fleet fleet = new Fleet(RELAYS, 5, i -> new Relay(settings(i, hint)).list(listed));
+        double probability = limit * load / RELAYS * STEP / S;
         for (long now = 0; now < END; now += STEP) {
             answers.removeIf(this::answerIfDue);
             for (int i = 0; i < RELAYS; i++) {
-                play(i, now, limit * load / RELAYS, limit, refusalsCount);
+                long at = now;
+                Relay relay = fleet.relays.get(i);
+                relay.pass(now - relay.now);
+                fleet.play(i, probability, (from, sent) -> arrive(fleet, from, sent, at, limit, refusalsCount));
             }
         }
         double possible = Math.min(1, load) * limit * END / S;
@@ -65,18 +63,7 @@
         return true;
     }
 
-    private void play(int number, long now, double rate, int limit, boolean refusalsCount) {
-        Relay relay = relays.get(number);
-        relay.pass(now - relay.now);
-        if (random.nextDouble() < rate * STEP / S) {
-            relay.accept(nextId++, "safe", 1);
-        }
-        for (; seen[number] < relay.sent.size(); seen[number]++) {
-            arrive(relay, relay.sent.get(seen[number]), now, limit, refusalsCount);
-        }
-    }
-
-    private void arrive(Relay relay, Relay.Sent sent, long now, int limit, boolean refusalsCount) {
+    private void arrive(Fleet fleet, Relay relay, Relay.Sent sent, long now, int limit, boolean refusalsCount) {
         while (!window.isEmpty() && window.peek() <= now - S) {
             window.remove();
         }
@@ -86,7 +73,7 @@
         }
         served += taken ? 1 : 0;
         refused += taken ? 0 : 1;
-        long wait = !taken && random.nextDouble() < TELLS_WAIT ? window.peek() + S - now : 0;
+        long wait = !taken && fleet.random.nextDouble() < TELLS_WAIT ? window.peek() + S - now : 0;
         answers.add(new Answer(relay, sent, now + (taken ? ANSWER_AFTER : REFUSAL_AFTER), taken ? Result.OK : Result.FULL, wait));
     }
 
--- a/src/test/java/pipitstage/FleetReleaseTest.java
+++ b/src/test/java/pipitstage/FleetReleaseTest.java
@@ -6,9 +6,7 @@
 import static pipitstage.Relay.route;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -29,11 +27,9 @@
     private static final double LOAD = 0.9;
 
     private final Policy.Rules rules = Relay.fleet(RELAYS, 0).rules();
-    private final List<Relay> relays = new ArrayList<>();
+    private final Fleet fleet = new Fleet(RELAYS, 11,
+            i -> new Relay(Relay.fleet(RELAYS, i)).list(route("a", 1, "plain", "east")));
     private final ArrayDeque<Long> window = new ArrayDeque<>();
-    private final int[] seen = new int[RELAYS];
-    private final SplittableRandom random = new SplittableRandom(11);
-    private long nextId;
 
     private static Stream<Arguments> outages() {
         return Stream.of(Result.CONNECT_FAILED, Result.TIMEOUT, Result.ERROR).flatMap(failure ->
@@ -44,9 +40,6 @@
     @MethodSource("outages")
     void sumOfAllRelaysStaysWithinWhatAColdDestinationBears(Result failure, int budget) {
         double capacity = budget / (rules.fallMultiple() * rules.coldFrom() * rules.fallSpan() / S);
-        for (int i = 0; i < RELAYS; i++) {
-            relays.add(new Relay(Relay.fleet(RELAYS, i)).list(route("a", 1, "plain", "east")));
-        }
         String worst = "";
         double most = 0;
         for (long now = 0; now < BACK_AT + rules.warmUp(); now += STEP) {
@@ -76,19 +69,14 @@
     }
 
     private void play(int number, long now, double rate, Result failure) {
-        Relay relay = relays.get(number);
+        Relay relay = fleet.relays.get(number);
         relay.pass(now - relay.now);
         for (Relay.Sent sent : List.copyOf(relay.unanswered)) {
             answer(relay, sent, now, failure);
         }
         // The last relay has nothing to send until the destination is back: it has seen nothing of the outage.
         boolean idle = number == RELAYS - 1 && now < BACK_AT;
-        if (!idle && random.nextDouble() < rate * STEP / S) {
-            relay.accept(nextId++, "safe", 1);
-        }
-        for (; seen[number] < relay.sent.size(); seen[number]++) {
-            window.add(relay.sent.get(seen[number]).at());
-        }
+        fleet.play(number, idle ? 0 : rate * STEP / S, (from, sent) -> window.add(sent.at()));
     }
 
     private void answer(Relay relay, Relay.Sent sent, long now, Result failure) {
--- a/src/test/java/pipitstage/relay/FloodTest.java
+++ b/src/test/java/pipitstage/relay/FloodTest.java
@@ -39,7 +39,7 @@
 
     private EmbeddedChannel client() {
         Clock clock = new Clock();
-        ClientServer server = new ClientServer(null, clock, new EventLoopMonitor(null, clock), 10);
+        ClientServer server = new ClientServer(null, clock, new EventLoopMonitor(null, clock, span -> { }), 10);
         EmbeddedChannel channel = new EmbeddedChannel(new Recorder());
         channel.pipeline().addLast(new ClientConnection(server, null, clock).handlers());
         channel.pipeline().fireChannelActive();
