Review case 2: a crowd of bad clients hangs the relay, and payments it holds are lost

300 bad clients that send a large improper message and the first bytes of another request use up the direct memory.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" FloodCase 2
+exec "$(dirname "$0")/../run-case.sh" CrowdCase 2
--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -421,7 +421,7 @@
         void writeConfig() throws IOException {
             Files.writeString(config, "{\"name\":\"" + name + "\",\"listen\":\"" + address() + "\",\"discovery\":\""
                     + platform.server.address() + "\",\"seed\":\"8c1f30d27a5be96" + starts % 10 + "\","
-                    + "\"limits\":{\"cores\":1.0,\"memory_mb\":144,\"sockets\":" + sockets + ",\"disk_mb\":3},"
+                    + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets + ",\"disk_mb\":3},"
                     + "\"known\":" + platform.list() + ",\"settings\":" + settings + "}");
         }
 
