--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" FloodCase 3
+exec "$(dirname "$0")/../run-case.sh" HandoverSpaceCase 3
--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -357,7 +357,12 @@
 
     /** Settings of a small deployment: two relays, a few partner systems. */
     static String settings(String... classes) {
-        return "{\"me\":0,\"fleet-size\":2,\"zone\":\"south\",\"zones\":[\"north\",\"south\"],"
+        return settings(0, 2, classes);
+    }
+
+    /** The same for one of several relays. */
+    static String settings(int me, int fleetSize, String... classes) {
+        return "{\"me\":" + me + ",\"fleet-size\":" + fleetSize + ",\"zone\":\"south\",\"zones\":[\"north\",\"south\"],"
                 + "\"kinds\":[\"plain\"],\"period-s\":0.005,\"family\":\"deliver\",\"registry-mode\":\"subscribe\","
                 + "\"accounts\":[{\"name\":\"shippers\",\"portion\":0.6,\"quota-rps\":30.0},"
                 + "{\"name\":\"traders\",\"portion\":0.4,\"quota-rps\":20.0}],"
