--- a/review/src/UpgradeCase.java
+++ b/review/src/UpgradeCase.java
@@ -60,7 +60,7 @@
 
     private static void upgrade(Harness harness, Harness.Platform platform, int number) throws Exception {
         Harness.Relay relay = harness.new Relay("relay-" + number, platform,
-                Harness.settings(Harness.ALERT, Harness.POSITION, Harness.PAYMENT), 384);
+                Harness.settings(number, KILL_DELAY_MILLIS.length, Harness.ALERT, Harness.POSITION, Harness.PAYMENT), 384);
         relay.start();
         Harness.sleep(number * STAGGER_MILLIS);
         ExecutorService clients = Executors.newFixedThreadPool(20);
