Let each run.sh of the review write record.txt in its own folder

The shared harness wrote it before, so no case folder said so, and nothing was written if a case could not run. Each run.sh now opens the record, gives its path to the case and appends the exit code.

--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -29,7 +30,7 @@
 /**
  * What the cases share: relay processes started with the command of the deploy file, and stand-ins for clients,
  * endpoints, discovery and the platform. All sockets are on 127.0.0.1 with ports that the system chooses. Everything
- * that happens is written to record.txt in the folder of the case.
+ * that happens is appended to the record of the case, whose path run.sh gives.
  */
 final class Harness implements AutoCloseable {
     // Exit codes; run.sh translates them, as a JVM that fails for another reason ends with 1.
@@ -46,8 +47,9 @@
     final Path temporary;
     private final List<AutoCloseable> resources = new CopyOnWriteArrayList<>();
 
-    Harness(String caseFolder) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(caseFolder, "record.txt")), true);
+    Harness(String recordFile) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile), StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND), true);
         temporary = Files.createTempDirectory("review");
         record("disruption " + (trouble ? "on" : "off (TROUBLE=0)"));
     }
@@ -590,9 +592,9 @@
         int run(Harness harness) throws Exception;
     }
 
-    static void main(String folder, Case body) throws IOException {
+    static void main(String recordFile, Case body) throws IOException {
         int result;
-        Harness harness = new Harness(folder);
+        Harness harness = new Harness(recordFile);
         Runtime.getRuntime().addShutdownHook(new Thread(harness::close));
         try {
             result = body.run(harness);
@@ -602,7 +604,7 @@
         }
         String text = result == HELD ? "the rule held" : result == BROKEN ? "the rule was broken" : "the case could not run";
         harness.record("result: " + text);
-        System.out.println(folder + ": " + text);
+        System.out.println(recordFile + ": " + text);
         System.exit(result);
     }
 }
