--- a/src/main/java/drumdeal/relay/AdminServer.java
+++ b/src/main/java/drumdeal/relay/AdminServer.java
@@ -69,10 +69,11 @@
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).handler(new AcceptErrorHandler())
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, InboundCopyHandler.HEAP_ALLOCATOR).childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel connection) {
-                        connection.pipeline().addLast(new HttpServerCodec(),
+                        connection.pipeline().addLast(InboundCopyHandler.INSTANCE, new HttpServerCodec(),
                                 new HttpObjectAggregator(MAX_REQUEST_BYTES), new RequestHandler());
                     }
                 }).bind(address);
--- a/src/main/java/drumdeal/relay/AgentClient.java
+++ b/src/main/java/drumdeal/relay/AgentClient.java
@@ -69,12 +69,13 @@
         this.agentAddress = agentAddress;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, InboundCopyHandler.HEAP_ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                new ResponseReader());
+                        ch.pipeline().addLast(InboundCopyHandler.INSTANCE, new HttpClientCodec(),
+                                new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseReader());
                     }
                 });
     }
--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -1,7 +1,6 @@
 package drumdeal.relay;
 
 import drumdeal.Policy;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,11 +13,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -27,7 +24,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -50,9 +46,10 @@
     private final Clock clock;
     /** Complete requests that are not handled yet. */
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
-    private final BoundedRequestDecoder decoder = new BoundedRequestDecoder();
-    /** True while the decoder holds bytes back because too many requests are pipelined. */
-    private boolean hasUndecodedBytes;
+    private final ClientRequestDecoder decoder =
+            new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS);
+    /** The memory that the connection's input takes. */
+    private final InputBudget.Share inputShare;
     private ChannelHandlerContext context;
     private long openedAt;
     /** The earliest time at which the client can have connected. */
@@ -74,8 +71,6 @@
     private HttpResponseStatus rejectionStatus;
     /** True from writing the last response, or from shutting down an idle connection. */
     private boolean closing;
-    /** Bytes of request bodies that the server counts for this connection. */
-    private int bufferedBytes;
     /** The accepted message whose response is pending; null otherwise. */
     private Message pendingMessage;
     private Future<?> timer;
@@ -84,11 +79,12 @@
         this.server = server;
         this.engine = engine;
         this.clock = clock;
+        inputShare = server.openInputShare();
     }
 
     /** The handlers of the channel's pipeline, in order. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new InboundByteHandler(), decoder, new HttpResponseEncoder(), this};
+        return new ChannelHandler[] {new InboundByteHandler(), InboundCopyHandler.INSTANCE, decoder, new HttpResponseEncoder(), this};
     }
 
     boolean isResponsePending() {
@@ -176,25 +172,6 @@
         return earliest <= openedAt ? Math.min(earliest, earliestConnectionArrival) : earliest;
     }
 
-    /** Stops decoding at the limit of pipelined requests; further bytes stay in the decoder's buffer. */
-    private final class BoundedRequestDecoder extends HttpRequestDecoder {
-        @Override
-        protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
-            if (pipelined.size() < MAX_PIPELINED_REQUESTS) {
-                super.decode(ctx, bytes, out);
-            } else {
-                hasUndecodedBytes = true;
-            }
-        }
-
-        /**
-         * Leaves both headers in place, so that {@link ClientRequest} sees and rejects the request: only one of the two
-         * lengths can be right.
-         */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage request) { }
-    }
-
     /** Starts the connection's only timer; a running one is cancelled. */
     private void startTimer(long millis, Runnable task) {
         stopTimer();
@@ -238,8 +215,7 @@
         pipelined.clear();
         partialRequest = null;
         server.onConnectionClosed(this);
-        server.releaseBuffer(bufferedBytes);
-        bufferedBytes = 0;
+        inputShare.release();
         withdraw();
     }
 
@@ -256,6 +232,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof Error) {
+            Log.write("closing the connection of a client: " + cause);
+        }
         ctx.close();
     }
 
@@ -265,12 +244,17 @@
             return;
         }
         if (part instanceof HttpRequest head) {
-            partialRequest = new ClientRequest(head);
-            HttpResponseStatus status = partialRequest.rejectionStatus();
+            ClientRequest request = new ClientRequest(head, inputShare);
+            HttpResponseStatus status = request.rejectionStatus();
             if (status != null) {
                 rejectAndClose(status);
                 return;
             }
+            if (!request.tryReserveHead()) {
+                rejectForLackOfMemory();
+                return;
+            }
+            partialRequest = request;
             if (HttpUtil.is100ContinueExpected(head) && !responsePending && pipelined.isEmpty()) {
                 ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -284,33 +268,35 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         handlePipelined();
+        countUndecodedBytes();
         ctx.fireChannelReadComplete();
     }
 
+    private void countUndecodedBytes() {
+        if (!inputShare.trySetUndecodedBytes(decoder.undecodedBytes()) && rejectionStatus == null && !closing) {
+            rejectForLackOfMemory();
+        }
+    }
+
     private void readBody(HttpContent content) {
-        int bytes = content.content().readableBytes();
         if (content.decoderResult().isFailure()) {
             rejectAndClose(HttpResponseStatus.BAD_REQUEST);
-        } else if (!partialRequest.appendBody(content.content())) {
+        } else if (!partialRequest.fits(content.content())) {
             rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (!server.tryReserveBuffer(bytes, partialRequest.bodySize())) {
-            // Incomplete bodies could together take all the memory.
-            rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        } else {
-            bufferedBytes += bytes;
-            if (content instanceof LastHttpContent) {
-                partialRequest.setEarliestArrival(earliestArrivalOfLastBytes);
-                pipelined.add(partialRequest);
-                partialRequest = null;
-                server.onRequestComplete(this);
-                updateAutoRead();
-            }
+        } else if (!partialRequest.tryAppendBody(content.content())) {
+            rejectForLackOfMemory();
+        } else if (content instanceof LastHttpContent) {
+            partialRequest.setEarliestArrival(earliestArrivalOfLastBytes);
+            pipelined.add(partialRequest);
+            partialRequest = null;
+            server.onRequestComplete(this);
+            updateAutoRead();
         }
     }
 
     /** Stops reading while too many requests are pipelined: a client that sends hundreds at once has to wait. */
     private void updateAutoRead() {
-        boolean full = hasUndecodedBytes || pipelined.size() >= MAX_PIPELINED_REQUESTS;
+        boolean full = decoder.isPaused() || pipelined.size() >= MAX_PIPELINED_REQUESTS;
         if (full) {
             readPausedSince = Math.min(readPausedSince, server.earliestByteArrival());
         }
@@ -319,30 +305,40 @@
 
     /** Decodes the bytes held back. Runs as a task of its own, so that other connections are served in between. */
     private void resumeDecoding() {
-        if (hasUndecodedBytes && !closing && pipelined.size() < MAX_PIPELINED_REQUESTS) {
-            hasUndecodedBytes = false;
+        if (decoder.isPaused() && !closing && pipelined.size() < MAX_PIPELINED_REQUESTS) {
             try {
-                decoder.channelRead(context.pipeline().context(decoder), Unpooled.EMPTY_BUFFER);
+                decoder.resume();
             } catch (Exception e) {
                 exceptionCaught(context, e);
             }
             updateAutoRead();
             handlePipelined();
+            countUndecodedBytes();
         }
     }
 
     /** True if a complete request is not handled yet, or undecoded bytes may hold one. */
     private boolean hasUnhandledRequests() {
-        return hasUndecodedBytes || !pipelined.isEmpty();
+        return decoder.isPaused() || !pipelined.isEmpty();
     }
 
     /** Rejects a request without reading the rest of it. Earlier requests are answered first, later ones ignored. */
     private void rejectAndClose(HttpResponseStatus status) {
-        partialRequest = null;
+        if (partialRequest != null) {
+            partialRequest.releaseMemory();
+            partialRequest = null;
+        }
         rejectionStatus = status;
+        decoder.discardInput();
         handlePipelined();
     }
 
+    /** Rejects a request because the input of all connections together takes too much memory. */
+    private void rejectForLackOfMemory() {
+        engine.countTurnedAway("input memory");
+        rejectAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     /**
      * Handles decoded requests until one has to wait for its response. The bytes held back are decoded in a later task:
      * otherwise all other clients and all due timers would wait for a client that sends hundreds of requests at once.
@@ -355,15 +351,14 @@
         while (!responsePending && !closing && !pipelined.isEmpty()) {
             ClientRequest request = pipelined.poll();
             handleRequest(request);
-            bufferedBytes -= request.bodySize();
-            server.releaseBuffer(request.bodySize());
+            request.releaseMemory();
         }
         if (rejectionStatus != null && !responsePending && !closing && pipelined.isEmpty()) {
             keepAlive = false;
             sendResponse(rejectionStatus, 0);
         }
         handlingPipelined = false;
-        if (hasUndecodedBytes && !responsePending) {
+        if (decoder.isPaused() && !responsePending) {
             context.executor().schedule(this::resumeDecoding, 0, TimeUnit.MILLISECONDS);
         } else if (!closing) {
             updateAutoRead();
@@ -422,6 +417,7 @@
         boolean lastResponse = closing;
         if (lastResponse) {
             server.onRequestComplete(this);
+            decoder.discardInput();
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         if (retryAfterMicros > 0) {
--- a/src/main/java/drumdeal/relay/ClientRequest.java
+++ b/src/main/java/drumdeal/relay/ClientRequest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -22,13 +23,21 @@
     /** The number of the destination among other parameters of the header. */
     private static final Pattern DESTINATION_PATTERN = Pattern.compile("(?:.*[;,\\s])?dest=(\\d{1,9})(?:[;,\\s].*)?");
 
+    /** Memory that a header field takes beside its name and value. */
+    private static final int HEADER_FIELD_OVERHEAD_BYTES = 160;
+
     private final HttpRequest head;
+    private final InputBudget.Share inputShare;
+    /** Bytes that {@link #inputShare} counts for this request. */
+    private int reservedBytes;
     private final ByteBuf body = Unpooled.buffer(0, MAX_BODY_BYTES);
     /** The earliest time at which the last byte can have arrived, in microseconds of {@link Clock}. */
     private long earliestArrival;
 
-    ClientRequest(HttpRequest head) {
+    /** A request without its body so far; {@code inputShare} counts the memory of its connection's input. */
+    ClientRequest(HttpRequest head, InputBudget.Share inputShare) {
         this.head = head;
+        this.inputShare = inputShare;
     }
 
     HttpRequest head() {
@@ -57,24 +66,48 @@
                 ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
     }
 
-    /** Appends a piece of the body; returns false and appends nothing if the body would exceed its limit. */
-    boolean appendBody(ByteBuf piece) {
-        if (piece.readableBytes() > body.maxWritableBytes()) {
+    /** False if a piece would make the body larger than any body may be. */
+    boolean fits(ByteBuf piece) {
+        return piece.readableBytes() <= body.maxWritableBytes();
+    }
+
+    /** Counts the memory of the head; false if clients' input takes too much memory. */
+    boolean tryReserveHead() {
+        int bytes = head.uri().length();
+        for (Map.Entry<String, String> field : head.headers()) {
+            bytes += field.getKey().length() + field.getValue().length() + HEADER_FIELD_OVERHEAD_BYTES;
+        }
+        return tryReserve(bytes);
+    }
+
+    /** Appends a piece that fits; false, and nothing is appended, if clients' input takes too much memory. */
+    boolean tryAppendBody(ByteBuf piece) {
+        if (!tryReserve(piece.readableBytes())) {
             return false;
         }
         body.writeBytes(piece);
         return true;
     }
 
+    private boolean tryReserve(int bytes) {
+        if (!inputShare.tryAddRequestBytes(bytes)) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
+    /** The request is handled or dropped: its memory is no longer counted. */
+    void releaseMemory() {
+        inputShare.removeRequestBytes(reservedBytes);
+        reservedBytes = 0;
+    }
+
     /** The request is complete; its last byte can't have arrived before {@code time}. */
     void setEarliestArrival(long time) {
         earliestArrival = time;
     }
 
-    int bodySize() {
-        return body.readableBytes();
-    }
-
     /**
      * The message that the request contains, or null if a header is missing or invalid. Its deadline counts from the
      * earliest time at which the request can have arrived, so time that the request lay unread is part of its budget.
--- a/src/main/java/drumdeal/relay/ClientServer.java
+++ b/src/main/java/drumdeal/relay/ClientServer.java
@@ -34,9 +34,6 @@
     private static final int MAX_LISTEN_BACKLOG = 1024;
     /** The time over which idle connections are closed when the relay drains. */
     private static final long IDLE_CLOSE_SPREAD_MILLIS = 1000;
-    /** Limit for the request bodies of all connections together; small requests may exceed it. */
-    private static final int MAX_BUFFERED_BYTES = 4 << 20;
-    private static final int MAX_SMALL_REQUEST_BYTES = 4 << 10;
     /** While another process uses descriptors, at least a quarter of the configured connections stay allowed. */
     private static final int MIN_CONNECTIONS_DIVISOR = 4;
 
@@ -51,11 +48,11 @@
     private final Set<ClientConnection> connectionsAwaitingRequest = new LinkedHashSet<>();
     /** Connections without a byte since their last response, the one idle for longest first. */
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>();
+    private final InputBudget inputBudget = new InputBudget();
     /** Null until {@link #listen} is called. */
     private Channel serverChannel;
     /** Earliest arrival of connections that the last pass may have left unaccepted; MAX_VALUE if it left none. */
     private long unacceptedSince = Long.MAX_VALUE;
-    private int bufferedBytes;
     private boolean markedUnready;
     private boolean draining;
     /** When a client last connected or disconnected, or an idle connection was shut down. */
@@ -76,6 +73,7 @@
                 // Lets the next version of the relay listen before this one has ended.
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .handler(new AcceptTracker()).childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, InboundCopyHandler.HEAP_ALLOCATOR)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -300,20 +298,8 @@
         idleConnections.remove(connection);
     }
 
-    /**
-     * Counts {@code bytes} that a connection buffers for a request whose body has {@code bodySize} bytes so far.
-     * Returns false and counts nothing if the limit would be exceeded; small requests are never refused.
-     */
-    boolean tryReserveBuffer(int bytes, int bodySize) {
-        if (bufferedBytes + bytes > MAX_BUFFERED_BYTES && bodySize > MAX_SMALL_REQUEST_BYTES) {
-            return false;
-        }
-        bufferedBytes += bytes;
-        return true;
-    }
-
-    /** Gives back bytes that {@link #tryReserveBuffer} has counted. */
-    void releaseBuffer(int bytes) {
-        bufferedBytes -= bytes;
+    /** A share, for a new connection, of the memory that the input of all connections may take. */
+    InputBudget.Share openInputShare() {
+        return inputBudget.openShare();
     }
 }
--- a/src/main/java/drumdeal/relay/EarlyStatusDecoder.java
+++ b/src/main/java/drumdeal/relay/EarlyStatusDecoder.java
@@ -57,6 +57,12 @@
         super.channelRead(ctx, message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        InboundCopyHandler.trim(internalBuffer());
+        super.channelReadComplete(ctx);
+    }
+
     /** Adds a byte to the current line and evaluates the line once it ends. Empty lines ahead of a head are skipped. */
     private void scanByte(char next) {
         if (next == '\n') {
--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -380,7 +380,7 @@
                 : openMessageCount >= settings.limits().maxOpenRequests() ? "full"
                 : !journal.recordAccepted(message) ? "no disk" : null;
         if (rejectionReason != null) {
-            counters.count("turned away: " + rejectionReason);
+            countTurnedAway(rejectionReason);
             stats.countRejected(content.requestClass());
             reply.sendRejected(RETRY_AFTER_MICROS);
             return null;
@@ -396,6 +396,11 @@
         return message;
     }
 
+    /** Counts a request that was rejected before it could be read as a message. */
+    void countTurnedAway(String reason) {
+        counters.count("turned away: " + reason);
+    }
+
     private void indexMessage(Message message) {
         messagesByNumber.put(message.number, message);
         messagesByCallId.put(message.content.callId(), message);
--- a/src/main/java/drumdeal/relay/HostClient.java
+++ b/src/main/java/drumdeal/relay/HostClient.java
@@ -168,7 +168,8 @@
         configuredMaxConnections = config.maxHostConnections();
         maxConnections = configuredMaxConnections;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, InboundCopyHandler.HEAP_ALLOCATOR);
         applySettings(config);
         idleTimeout = new IdleTimeout(maxIdleMicros, clock.micros());
     }
--- a/src/main/java/drumdeal/relay/HostConnection.java
+++ b/src/main/java/drumdeal/relay/HostConnection.java
@@ -61,7 +61,7 @@
 
     /** The handlers for the channel's pipeline, in order. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+        return new ChannelHandler[] {new HttpRequestEncoder(), InboundCopyHandler.INSTANCE, decoder, this};
     }
 
     @Override
--- a/src/test/java/drumdeal/relay/ClientRequestTest.java
+++ b/src/test/java/drumdeal/relay/ClientRequestTest.java
@@ -15,7 +15,7 @@
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api");
         head.headers().set(ClientServer.CALL_ID_HEADER, "m1").set("X-Call-Class", "safe")
                 .set(ClientServer.BUDGET_HEADER, budgetMillis).set("X-Consignee", "dest=7");
-        ClientRequest request = new ClientRequest(head);
+        ClientRequest request = new ClientRequest(head, new InputBudget().openShare());
         request.setEarliestArrival(arrivedAt);
         return request.parseContent().deadline();
     }
--- a/src/test/java/drumdeal/relay/RelayProcess.java
+++ b/src/test/java/drumdeal/relay/RelayProcess.java
@@ -45,6 +45,7 @@
     private String listenAddress = "127.0.0.1:0";
     private String logNamePrefix = "log";
     private UnaryOperator<String> configurationEdit = UnaryOperator.identity();
+    private List<String> jvmOptions = List.of();
 
     RelayProcess(Path folder, StubPeer discovery) {
         this.folder = folder;
@@ -120,6 +121,12 @@
         return this;
     }
 
+    /** Sets further options of the relay's JVM, such as those of the deploy file that limit its memory. */
+    RelayProcess jvmOptions(String... options) {
+        jvmOptions = List.of(options);
+        return this;
+    }
+
     /** The number of file descriptors that the relay has open. */
     int countOpenDescriptors() {
         return Path.of("/proc/" + process.pid() + "/fd").toFile().list().length;
@@ -185,12 +192,14 @@
     void startWithoutWaiting() throws IOException {
         writeConfiguration();
         logFile = folder.resolve(logNamePrefix + startCount++);
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+        List<String> command = new ArrayList<>(List.of("sh", "-c",
                 "ulimit -n " + descriptorLimit + " && exec \"$0\" \"$@\"",
                 Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError",
-                "-cp", System.getProperty("java.class.path"), Main.class.getName(),
-                "serve").redirectErrorStream(true).redirectOutput(logFile.toFile());
+                "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError"));
+        command.addAll(jvmOptions);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(logFile.toFile());
         builder.environment().put("EDGE_CONFIG", configurationFile().toString());
         builder.environment().put("EDGE_STATE", stateFolder().toString());
         builder.environment().put("EDGE_ADMIN_ADDR", "127.0.0.1:0");
