--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -23,7 +23,8 @@
  * All its methods run on one event loop.
  */
 final class Engine
-        implements Policy.Actions, HostClient.ResultListener, Discovery.Listener, PredecessorLink.TakeoverHandler {
+        implements Policy.Actions, HostClient.ResultListener, Discovery.Listener, PredecessorLink.TakeoverHandler,
+        FolderAdoption.MessageOwner {
     /**
      * How long after its deadline a message that the module has left open is ended. The notice of its end then still
      * reaches the platform in time.
@@ -144,21 +145,24 @@
         }
         loop.scheduleAtFixedRate(() -> writeRouteState(stateFolder), ROUTE_STATE_WRITE_INTERVAL_MILLIS,
                 ROUTE_STATE_WRITE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        journal.unfinishedMessages().forEach(this::resumeMessage);
+        for (Message message : journal.unfinishedMessages()) {
+            indexMessage(message);
+            resumeMessage(message);
+        }
     }
 
     private void writeRouteState(Path stateFolder) {
         // While another process takes the decisions, this one learns nothing more: its state would be written with the
         // current time although it is out of date.
         if (!decisionsSuspended) {
-            journal.reserveForOtherFiles(
+            journal.budget().reserveForOtherFiles(
                     RouteStateFile.write(stateFolder, policy.encodeLearnedState(), clock.micros(), diskBytes));
         }
     }
 
     /** Continues a message of another process: sends its notice if its end is decided, else continues its delivery. */
     private void resumeMessage(Message message) {
-        indexMessage(message);
+        message.owned = true;
         if (message.nonDelivery != null) {
             noticeSender.send(message);
         } else {
@@ -173,47 +177,49 @@
                 .map(attempt -> new Policy.PastAttempt(attempt.route, attempt.sentAt, attempt.result)).toList()));
     }
 
-    /** Resumes the unfinished messages of a process that has ended. This process now holds the lock of its folder. */
     @Override
     public void adoptFolder(StateFolder.LockedFolder lockedFolder) throws IOException {
-        List<Message> unfinished = Journal.readUnfinishedMessages(lockedFolder.folder(), diskBytes);
-        journal.useWholeDisk();
-        // The other process may have handed a message over and ended before it could record that in its journal.
-        unfinished.stream().filter(message -> !messagesByCallId.containsKey(message.content.callId()))
-                .forEach(message -> resumeMessage(renumberAndJournal(message)));
-        Journal.deleteSegments(lockedFolder.folder());
-        if (!unfinished.isEmpty()) {
-            Log.write("adopted " + unfinished.size() + " unfinished messages of a process that has ended");
-        }
+        new FolderAdoption(loop, clock, journal, this, lockedFolder).start(diskBytes);
         addEvent(new Policy.PredecessorEnded());
     }
 
-    /** Gives a message of another process a number of this one and records it in this one's journal. */
-    private Message renumberAndJournal(Message message) {
+    @Override
+    public Message registerIfUnknown(Message message) {
+        return messagesByCallId.containsKey(message.content.callId()) ? null : register(message);
+    }
+
+    /** Gives a message of another process a number of this one. A client that resends it is answered from now on. */
+    private Message register(Message message) {
         Message renumbered = message.withNumber(nextNumber++);
-        if (!journal.recordAdopted(renumbered)) {
-            Log.write("can't record message " + message.content.callId()
-                    + " of another process in the journal, so it will not be attempted");
-        }
+        indexMessage(renumbered);
         return renumbered;
     }
 
     @Override
-    public Message storeMessage(byte[] records) throws IOException {
-        Message message = renumberAndJournal(Journal.unpack(records));
-        // A client that resends the request because its connection closed is answered by this process from now on.
-        indexMessage(message);
-        return message;
+    public Message receiveMessage(byte[] records) throws IOException {
+        return register(Journal.unpack(records));
+    }
+
+    @Override
+    public boolean storeMessage(Message message) {
+        return journal.recordAdopted(List.of(message));
+    }
+
+    @Override
+    public void dropMessage(Message message) {
+        messagesByNumber.remove(message.number);
+        messagesByCallId.remove(message.content.callId(), message);
     }
 
     @Override
     public void takeOwnership(Message message) {
         resumeMessage(message);
+        offerToSuccessor(message);
     }
 
     @Override
-    public void applySnapshot(HandoverSnapshot snapshot) {
-        journal.shareDisk(false);
+    public void applySnapshot(Path predecessorFolder, HandoverSnapshot snapshot) {
+        journal.budget().shareWithRunning(predecessorFolder);
         if (!listReceived && !snapshot.targets().isEmpty()) {
             updateTargets(Policy.RouteListUpdateType.CACHED, snapshot.listVersion(), snapshot.targets());
         }
@@ -257,14 +263,17 @@
      */
     void handOver(SuccessorLink link) {
         successor = link;
-        journal.shareDisk(true);
+        journal.budget().startHandover();
         hostClient.disableKeepAlive();
         List.copyOf(messagesByNumber.values()).forEach(this::offerToSuccessor);
     }
 
-    /** Offers a message whose end is not decided, whose client has its response, and that has no attempt in flight. */
+    /**
+     * Offers a message that this process owns, whose end is not decided, whose client has its response, and that has no
+     * attempt in flight.
+     */
     private void offerToSuccessor(Message message) {
-        boolean transferable = message.pendingReply == null && message.nonDelivery == null && !message.finished
+        boolean transferable = message.owned && message.pendingReply == null && message.nonDelivery == null && !message.finished
                 && !message.hasAttemptsInFlight();
         if (successor != null && transferable) {
             successor.offer(message);
@@ -389,6 +398,7 @@
         nextNumber++;
         openMessageCount++;
         message.pendingReply = reply;
+        message.owned = true;
         indexMessage(message);
         acceptedThisRound.add(message);
         startOverdueTimer(message);
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -31,22 +31,20 @@
  * change. Not thread-safe.
  */
 final class Journal implements AutoCloseable {
-    // Shares of the disk budget. During compaction the old and the new segment exist side by side and take at most
-    // 0.5 + 0.4 of it.
-    /** Records of unfinished messages may take this share; beyond it no further message is accepted. */
-    private static final double MAX_UNFINISHED_SHARE = 0.3;
-    /** The segment is compacted when records of finished messages take more than this share. */
-    private static final double COMPACTION_THRESHOLD_SHARE = 0.1;
-    /** Limit of the segment for records that add work for the relay: accepted messages and attempts. */
-    private static final double SEGMENT_SOFT_LIMIT_SHARE = 0.45;
-    /** Limit for all other records: results and ends of messages still have room without a compaction. */
-    private static final double SEGMENT_HARD_LIMIT_SHARE = 0.5;
     /** Least time between a compaction that failed and the next one. */
     private static final long COMPACTION_RETRY_NANOS = 1_000_000_000;
 
+    /**
+     * Least time between two compactions that only make room for a record: each may free no more than that record
+     * needs.
+     */
+    private static final long ROOM_COMPACTION_INTERVAL_NANOS = 100_000_000;
+
     private static final String SEGMENT_NAME_FORMAT = "journal-%010d.log";
     private static final String TEMPORARY_SEGMENT_NAME = "journal.new";
     private static final int RECORD_HEADER_BYTES = Integer.BYTES * 2;
+    /** Unit in which the space of a file on the disk counts. */
+    private static final int BLOCK_BYTES = 512;
 
     /** Largest attempt number that replay accepts; a record with a larger one counts as damaged. */
     private static final int MAX_ATTEMPTS = 10_000;
@@ -82,13 +80,7 @@
     }
 
     private final Path folder;
-    /** Disk limit of the relay as configured. */
-    private final long diskBytes;
-    /** The part of {@link #diskBytes} that this process may use; during an upgrade another process shares the disk. */
-    private long allottedBytes;
-    /** The part of {@link #allottedBytes} that is reserved for files other than the journal. */
-    private long otherFilesBytes;
-    private boolean compactionEnabled = true;
+    private final DiskBudget budget;
     /** By message number, in the order in which they were added. */
     private final Map<Long, UnfinishedMessage> unfinishedMessages = new LinkedHashMap<>();
     private FileChannel segmentChannel;
@@ -103,6 +95,8 @@
     private boolean broken;
     /** No compaction before this time; moves into the future when one fails. */
     private long nextCompactionAtNanos = System.nanoTime();
+    /** No compaction that only makes room for a record before this time. */
+    private long nextCompactionForRoomAtNanos = System.nanoTime();
 
     /**
      * Opens the journal of a folder and replays it. The segment is truncated at the first record that is incomplete
@@ -110,8 +104,7 @@
      */
     Journal(Path folder, long diskLimitBytes) throws IOException {
         this.folder = folder;
-        allottedBytes = diskLimitBytes;
-        diskBytes = diskLimitBytes;
+        budget = new DiskBudget(diskLimitBytes);
         Files.createDirectories(folder);
         Files.deleteIfExists(folder.resolve(TEMPORARY_SEGMENT_NAME));
         List<Path> segments = listSegments(folder);
@@ -132,7 +125,7 @@
     /** Replays records in memory, without a file. */
     private Journal() {
         folder = null;
-        diskBytes = 0;
+        budget = new DiskBudget(0);
     }
 
     /** Encodes all records of a message, for another process that reads them with {@link #unpack}. */
@@ -171,48 +164,48 @@
         }
     }
 
+    /** The space that the files of a process folder take on the disk, in whole blocks. */
+    static long sizeOnDisk(Path folder) throws IOException {
+        long bytes = 0;
+        try (var files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                if (Files.isRegularFile(file)) {
+                    bytes += (Files.size(file) + BLOCK_BYTES - 1) / BLOCK_BYTES * BLOCK_BYTES;
+                }
+            }
+        }
+        return bytes;
+    }
+
     private static List<Path> listSegments(Path folder) throws IOException {
         try (var files = Files.list(folder)) {
             return files.filter(f -> f.getFileName().toString().matches("journal-\\d{10}\\.log")).sorted().toList();
         }
     }
 
-    /**
-     * Limits this process to a part of the disk while another process of the relay uses the disk too; without this,
-     * the two together could exceed it. The newer process ({@code leaving} false) uses half of the disk. The older one
-     * ({@code leaving} true) no longer compacts, so it needs no room for a second segment.
-     */
-    void shareDisk(boolean leaving) {
-        allottedBytes = leaving ? allottedBytes : diskBytes / 2;
-        compactionEnabled = !leaving;
-    }
-
-    /** Gives this process the full disk limit again, once no other process uses it. */
-    void useWholeDisk() {
-        allottedBytes = diskBytes;
-        compactionEnabled = true;
-    }
-
-    /** Reserves disk space for files other than the journal; replaces the former reservation. */
-    void reserveForOtherFiles(long bytes) {
-        otherFilesBytes = bytes;
-    }
-
-    /** The disk budget that the {@code _SHARE} constants refer to. */
-    private long budgetBytes() {
-        return allottedBytes - otherFilesBytes;
+    /** How much of the relay's disk this journal may take. */
+    DiskBudget budget() {
+        return budget;
     }
 
     /**
-     * Records a message of another process, with its attempts and results. Returns false if there is no room or the
-     * disk fails.
+     * Records messages of another process, with their attempts and results, or none of them. Returns false if there is
+     * no room, even after a compaction, or if the disk fails.
      */
-    boolean recordAdopted(Message message) {
-        byte[] records = pack(message);
-        if (!append(records, SEGMENT_HARD_LIMIT_SHARE)) {
+    boolean recordAdopted(List<Message> messages) {
+        List<byte[]> recordsByMessage = messages.stream().map(Journal::pack).toList();
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        recordsByMessage.forEach(records::writeBytes);
+        DiskBudget.Purpose purpose = unfinishedMessages.isEmpty() ? DiskBudget.Purpose.ADOPTED_INTO_EMPTY
+                : DiskBudget.Purpose.ADOPTED;
+        // Room for attempts is left as well, as far as a compaction makes it.
+        makeRoom(records.size(), DiskBudget.Purpose.ATTEMPT);
+        if (!append(records.toByteArray(), purpose)) {
             return false;
         }
-        addUnfinishedMessage(message, records.length);
+        for (int i = 0; i < messages.size(); i++) {
+            addUnfinishedMessage(messages.get(i), recordsByMessage.get(i).length);
+        }
         return true;
     }
 
@@ -229,8 +222,8 @@
     /** Records an accepted message. Returns false if there is no room or the disk fails. */
     boolean recordAccepted(Message message) {
         byte[] record = encodeRecord(acceptedPayload(message));
-        if (unfinishedBytes + record.length > MAX_UNFINISHED_SHARE * budgetBytes()
-                || !append(record, SEGMENT_SOFT_LIMIT_SHARE)) {
+        if (!budget.allowsUnfinished(unfinishedBytes + record.length)
+                || !append(record, DiskBudget.Purpose.ACCEPTED)) {
             return false;
         }
         addUnfinishedMessage(message, record.length);
@@ -239,7 +232,20 @@
 
     /** Records an attempt before its first byte is sent. Returns false if it can't be recorded. */
     boolean recordAttempt(Message.Attempt attempt) {
-        return appendForMessage(attempt.message, attemptPayload(attempt.message, attempt), SEGMENT_SOFT_LIMIT_SHARE);
+        byte[] record = encodeRecord(attemptPayload(attempt.message, attempt));
+        // Without attempts no message may end, and only the end of one would lead to a compaction.
+        makeRoom(record.length, DiskBudget.Purpose.ATTEMPT);
+        return appendForMessage(attempt.message, record, DiskBudget.Purpose.ATTEMPT);
+    }
+
+    /** Compacts the segment if it has no room for a record and has it afterwards. */
+    private void makeRoom(int recordBytes, DiskBudget.Purpose purpose) {
+        boolean helps = !budget.allowsSegment(segmentBytes + recordBytes, purpose)
+                && budget.allowsSegment(unfinishedBytes + recordBytes, purpose);
+        if (helps && System.nanoTime() - nextCompactionForRoomAtNanos >= 0) {
+            nextCompactionForRoomAtNanos = System.nanoTime() + ROOM_COMPACTION_INTERVAL_NANOS;
+            compactIfAllowed();
+        }
     }
 
     /**
@@ -247,27 +253,33 @@
      * effect.
      */
     void recordResult(Message.Attempt attempt) {
-        appendForMessage(attempt.message, resultPayload(attempt.message, attempt), SEGMENT_HARD_LIMIT_SHARE);
+        appendForMessage(attempt.message, encodeRecord(resultPayload(attempt.message, attempt)),
+                DiskBudget.Purpose.OUTCOME);
     }
 
     /** Records how a message ends undelivered, before the platform is notified of it. */
     void recordEnd(Message message) {
-        appendForMessage(message, endPayload(message), SEGMENT_HARD_LIMIT_SHARE);
+        appendForMessage(message, encodeRecord(endPayload(message)), DiskBudget.Purpose.OUTCOME);
     }
 
     /** Records that nothing remains to be done for a message, and compacts the segment if that is due. */
     void recordDone(Message message) {
-        boolean recorded = appendForMessage(message, out -> {
+        byte[] record = encodeRecord(out -> {
             out.writeByte(DONE);
             out.writeLong(message.number);
-        }, SEGMENT_HARD_LIMIT_SHARE);
+        });
+        boolean recorded = appendForMessage(message, record, DiskBudget.Purpose.OUTCOME);
         boolean known = unfinishedMessages.containsKey(message.number);
         removeUnfinishedMessage(message.number);
         // If the DONE record could not be written, as on a full disk, the finished message would be resumed after a
         // restart. Compaction leaves the message out.
-        boolean compactionDue = known && !recorded
-                || segmentBytes - unfinishedBytes > COMPACTION_THRESHOLD_SHARE * budgetBytes();
-        if (compactionDue && compactionEnabled && System.nanoTime() - nextCompactionAtNanos >= 0) {
+        if (known && !recorded || budget.isCompactionDue(segmentBytes - unfinishedBytes)) {
+            compactIfAllowed();
+        }
+    }
+
+    private void compactIfAllowed() {
+        if (budget.allowsCompaction(segmentBytes, unfinishedBytes) && System.nanoTime() - nextCompactionAtNanos >= 0) {
             compact();
         }
     }
@@ -278,10 +290,9 @@
     }
 
     /** Appends a record of an unfinished message; false if the message is unknown or the record can't be written. */
-    private boolean appendForMessage(Message message, PayloadWriter payload, double limitShare) {
+    private boolean appendForMessage(Message message, byte[] record, DiskBudget.Purpose purpose) {
         UnfinishedMessage entry = unfinishedMessages.get(message.number);
-        byte[] record = encodeRecord(payload);
-        if (entry == null || !append(record, limitShare)) {
+        if (entry == null || !append(record, purpose)) {
             return false;
         }
         entry.sizeBytes += record.length;
@@ -304,12 +315,9 @@
         }
     }
 
-    /**
-     * Appends a complete record, or nothing if the segment would exceed {@code limitShare} of the budget or the disk
-     * fails.
-     */
-    private boolean append(byte[] record, double limitShare) {
-        if (broken || segmentBytes + record.length > limitShare * budgetBytes()) {
+    /** Appends complete records, or nothing if the disk budget does not allow it or the disk fails. */
+    private boolean append(byte[] record, DiskBudget.Purpose purpose) {
+        if (broken || !budget.allowsSegment(segmentBytes + record.length, purpose)) {
             return false;
         }
         try {
--- a/src/main/java/drumdeal/relay/PredecessorLink.java
+++ b/src/main/java/drumdeal/relay/PredecessorLink.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,16 +24,27 @@
 final class PredecessorLink {
     /** How long to wait for the older process's snapshot; if that process hangs, this one serves without it. */
     private static final long SNAPSHOT_TIMEOUT_MILLIS = 2000;
+    /** Pause until it is tried again to store messages for which the journal had no room. */
+    private static final long STORE_RETRY_MILLIS = 50;
     /** How often to check whether the older process has ended. */
     private static final long LOCK_POLL_MILLIS = 20;
 
     /** What the relay does with the state and the messages of an older process. */
     interface TakeoverHandler {
         /** Applies the state of the older process, which takes no more decisions. */
-        void applySnapshot(HandoverSnapshot snapshot);
+        void applySnapshot(Path predecessorFolder, HandoverSnapshot snapshot);
 
-        /** Writes a message to the journal; its delivery must wait for {@link #takeOwnership}. */
-        Message storeMessage(byte[] records) throws IOException;
+        /** Registers a message of the older process, which still owns it. */
+        Message receiveMessage(byte[] records) throws IOException;
+
+        /**
+         * Writes a received message to the journal; false if there is no room. Its delivery must wait for
+         * {@link #takeOwnership}.
+         */
+        boolean storeMessage(Message message);
+
+        /** Forgets a received message that is not stored. */
+        void dropMessage(Message message);
 
         /** The older process no longer holds the message: its delivery continues in this one. */
         void takeOwnership(Message message);
@@ -44,7 +57,10 @@
         void onPredecessorOutcome(String route, Policy.Result result, long waitMicros, long elapsedMicros,
                 int callsInFlight);
 
-        /** The older process has ended: takes over the messages left in its folder, which this process has locked. */
+        /**
+         * The older process has ended: takes over the messages left in its folder, which this process has locked, and
+         * closes the folder in the end, also if it throws.
+         */
         void adoptFolder(StateFolder.LockedFolder folder) throws IOException;
     }
 
@@ -53,6 +69,10 @@
     private final TakeoverHandler handler;
     private final Consumer<HandoverSnapshot> onReady;
     private final Runnable onPredecessorEnded;
+    /** Messages that this process's journal has no room for yet, by their number in the older process, in its order. */
+    private final Map<Long, Message> unstoredMessages = new LinkedHashMap<>();
+    private boolean storeRetryScheduled;
+    private boolean storeWaitLogged;
     /** Messages stored here that the older process has not released yet, by their number in that process. */
     private final Map<Long, Message> unreleasedMessages = new HashMap<>();
     /** Null until {@link #takeOver}, and after it if no connection could be attempted. */
@@ -117,13 +137,13 @@
         switch (type) {
             case SNAPSHOT -> {
                 HandoverSnapshot snapshot = HandoverSnapshot.read(in);
-                handler.applySnapshot(snapshot);
+                handler.applySnapshot(predecessorFolder, snapshot);
                 reportReady(snapshot);
             }
             case MESSAGE -> {
                 long number = in.readLong();
-                unreleasedMessages.put(number, handler.storeMessage(in.readAllBytes()));
-                Handover.send(channel, Handover.FrameType.MESSAGE_STORED, out -> out.writeLong(number));
+                unstoredMessages.put(number, handler.receiveMessage(in.readAllBytes()));
+                storeMessages();
             }
             case MESSAGE_RELEASED -> {
                 Message message = unreleasedMessages.remove(in.readLong());
@@ -137,6 +157,39 @@
         }
     }
 
+    /**
+     * Stores received messages and acknowledges them. Without room in the journal the rest waits and is not
+     * acknowledged: until then the older process owns them, and they stay in its journal.
+     */
+    private void storeMessages() {
+        Iterator<Map.Entry<Long, Message>> unstored = unstoredMessages.entrySet().iterator();
+        while (channel.isActive() && unstored.hasNext()) {
+            Map.Entry<Long, Message> received = unstored.next();
+            if (!handler.storeMessage(received.getValue())) {
+                scheduleStoreRetry();
+                return;
+            }
+            unstored.remove();
+            long number = received.getKey();
+            unreleasedMessages.put(number, received.getValue());
+            Handover.send(channel, Handover.FrameType.MESSAGE_STORED, out -> out.writeLong(number));
+        }
+    }
+
+    private void scheduleStoreRetry() {
+        if (!storeWaitLogged) {
+            storeWaitLogged = true;
+            Log.write("no room in the journal for messages of the older process, they wait there");
+        }
+        if (!storeRetryScheduled) {
+            storeRetryScheduled = true;
+            loop.schedule(() -> {
+                storeRetryScheduled = false;
+                storeMessages();
+            }, STORE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void reportReady(HandoverSnapshot snapshot) {
         if (!readyReported) {
             readyReported = true;
@@ -154,12 +207,10 @@
      * send a message that it has not released, and two processes would deliver the same message.
      */
     private void adoptOnceUnlocked() {
-        try (StateFolder.LockedFolder folder = StateFolder.tryLock(predecessorFolder)) {
+        try {
+            StateFolder.LockedFolder folder = StateFolder.tryLock(predecessorFolder);
             if (folder != null) {
-                unreleasedMessages.values().forEach(handler::takeOwnership);
-                unreleasedMessages.clear();
-                handler.adoptFolder(folder);
-                onPredecessorEnded.run();
+                adopt(folder);
                 return;
             }
         } catch (IOException e) {
@@ -168,4 +219,14 @@
         }
         loop.schedule(this::adoptOnceUnlocked, LOCK_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
+
+    private void adopt(StateFolder.LockedFolder folder) throws IOException {
+        unreleasedMessages.values().forEach(handler::takeOwnership);
+        unreleasedMessages.clear();
+        // These are in the folder, unless the older process has ended them.
+        unstoredMessages.values().forEach(handler::dropMessage);
+        unstoredMessages.clear();
+        handler.adoptFolder(folder);
+        onPredecessorEnded.run();
+    }
 }
--- a/src/main/java/drumdeal/relay/Relay.java
+++ b/src/main/java/drumdeal/relay/Relay.java
@@ -95,7 +95,8 @@
      */
     private void takeOverFromPredecessors() {
         for (Path folder : stateFolder.otherFolders()) {
-            try (StateFolder.LockedFolder lockedFolder = StateFolder.tryLock(folder)) {
+            try {
+                StateFolder.LockedFolder lockedFolder = StateFolder.tryLock(folder);
                 if (lockedFolder != null) {
                     engine.adoptFolder(lockedFolder);
                 } else {
--- a/src/test/java/drumdeal/relay/JournalTest.java
+++ b/src/test/java/drumdeal/relay/JournalTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -52,7 +53,7 @@
     @Test
     void endRecordsFitWhenAttemptRecordsNoLongerDo() throws IOException {
         try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
-            List<Message> messages = new java.util.ArrayList<>();
+            List<Message> messages = new ArrayList<>();
             for (int i = 1; i <= 100; i++) {
                 messages.add(createMessage(i, 8_000));
                 assertTrue(journal.recordAccepted(messages.get(i - 1)));
@@ -151,7 +152,7 @@
     @Test
     void spaceReservedForOtherFilesStaysFree() throws IOException {
         try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
-            journal.reserveForOtherFiles(DISK_LIMIT_BYTES / 2);
+            journal.budget().reserveForOtherFiles(DISK_LIMIT_BYTES / 2);
             for (int number = 1; number <= 100; number++) {
                 journal.recordAccepted(createMessage(number, 64 << 10));
             }
@@ -206,4 +207,86 @@
             assertTrue(journal.unfinishedMessages().isEmpty());
         }
     }
+
+    /** Guards against a newer process that has no room for what the older one holds and loses it with a kill. */
+    @Test
+    void allThatAnOlderProcessHoldsFitsBesideIt() throws IOException {
+        Path newerFolder = folder.resolve("1");
+        try (Journal older = new Journal(folder, DISK_LIMIT_BYTES);
+                Journal newer = new Journal(newerFolder, DISK_LIMIT_BYTES)) {
+            newer.budget().shareWithRunning(folder);
+            older.budget().startHandover();
+            List<Message> messages = new ArrayList<>();
+            while (older.recordAccepted(createMessage(messages.size() + 1, 7_300))) {
+                messages.add(createMessage(messages.size() + 1, 7_300));
+            }
+            for (Message message : messages) {
+                assertTrue(newer.recordAdopted(List.of(message)), "message " + message.number);
+                older.recordDone(message);
+            }
+            for (Message message : messages) {
+                assertTrue(newer.recordAttempt(message.addAttempt("r", 50)), "message " + message.number);
+            }
+            assertTrue(Journal.sizeOnDisk(folder) + Journal.sizeOnDisk(newerFolder) < DISK_LIMIT_BYTES);
+            messages.forEach(newer::recordDone);
+        }
+        try (Journal newer = new Journal(newerFolder, DISK_LIMIT_BYTES)) {
+            assertTrue(newer.unfinishedMessages().isEmpty());
+        }
+    }
+
+    /** Guards against messages that find no room beside records of finished ones, which a compaction removes. */
+    @Test
+    void adoptionMakesRoomByACompaction() throws IOException {
+        List<Message> messages = new ArrayList<>();
+        try (Journal leaving = new Journal(folder, DISK_LIMIT_BYTES)) {
+            leaving.budget().startHandover();
+            for (int number = 1; number <= 110; number++) {
+                messages.add(createMessage(number, 8_000));
+                assertTrue(leaving.recordAccepted(messages.get(number - 1)));
+            }
+            messages.forEach(leaving::recordDone);
+        }
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            journal.budget().shareWithEnded(folder.resolve("1"), DISK_LIMIT_BYTES / 3);
+            assertTrue(journal.recordAdopted(messages));
+            assertTrue(usedDiskBytes() < DISK_LIMIT_BYTES / 3);
+        }
+        assertEquals(110, readAfterReopening().size());
+    }
+
+    /** Guards against a segment full of finished messages in which no attempt of the others finds room. */
+    @Test
+    void attemptMakesRoomByACompaction() throws IOException {
+        Message open = createMessage(1, 8_000);
+        try (Journal leaving = new Journal(folder, DISK_LIMIT_BYTES)) {
+            leaving.budget().startHandover();
+            assertTrue(leaving.recordAccepted(open));
+            for (int number = 2; leaving.recordAccepted(createMessage(number, 8_000)); number++) {
+                leaving.recordDone(createMessage(number, 0));
+            }
+            while (leaving.recordAttempt(open.addAttempt("r", 50))) {
+                continue;
+            }
+        }
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            assertTrue(journal.recordAttempt(journal.unfinishedMessages().get(0).addAttempt("r", 60)));
+        }
+    }
+
+    /** Guards against a part of the messages that is adopted twice, as the rest keeps their folder from being deleted. */
+    @Test
+    void adoptedMessagesAreRecordedAllOrNone() throws IOException {
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            journal.budget().shareWithEnded(folder.resolve("1"), DISK_LIMIT_BYTES / 2);
+            List<Message> messages = new ArrayList<>();
+            for (int number = 1; number <= 30; number++) {
+                messages.add(createMessage(number, 64 << 10));
+            }
+            assertFalse(journal.recordAdopted(messages));
+            assertTrue(journal.unfinishedMessages().isEmpty());
+            assertTrue(journal.recordAdopted(messages.subList(0, 10)));
+        }
+        assertEquals(10, readAfterReopening().size());
+    }
 }
--- a/src/test/java/drumdeal/relay/UpgradeTest.java
+++ b/src/test/java/drumdeal/relay/UpgradeTest.java
@@ -133,7 +133,7 @@
         writeFrame(channel, Handover.FrameType.TAKEOVER_REQUEST, out -> out.writeInt(Handover.VERSION));
     }
 
-    private static void writeFrame(SocketChannel channel, Handover.FrameType type, Handover.PayloadWriter payload)
+    static void writeFrame(SocketChannel channel, Handover.FrameType type, Handover.PayloadWriter payload)
             throws IOException {
         byte[] frame = Handover.toBytes(out -> {
             out.writeByte(type.ordinal());
