Do not take surplus behind a response of the agent for the next response

Seen: of two notices' requests, the first answered 204 with a second copy, the second cut off, both end as 204: a notice that the platform never got counts as received. Cause: AgentClient passes a response on in the middle of a read, and NoticeSender sends the next request at once, whose response the surplus then is; half a line stays in the decoder.

Fix: a response is passed on once all that was read with it is decoded; a connection that brings more than one response to its request is closed, and reused 2 ms after a response at the earliest, as at hosts.

--- a/src/main/java/drumdeal/relay/AgentClient.java
+++ b/src/main/java/drumdeal/relay/AgentClient.java
@@ -13,10 +13,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -41,12 +41,21 @@
      */
     private static final long CLOSE_RACE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /**
+     * Delay after a response before its connection is reused. A second copy of the response, or stray bytes right behind
+     * it, would otherwise be taken for the response to the next request.
+     */
+    private static final long REUSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
     /** Receives the outcome of a request. */
     interface ResponseHandler {
         /** {@code status} is the HTTP status, {@link #CONNECTION_LOST} or {@link #TIMED_OUT}. */
         void handle(int status, String body);
     }
 
+    /** A complete response; {@code connectionReusable} is false if its connection can't carry another request. */
+    private record Response(int status, String body, boolean connectionReusable) { }
+
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private InetSocketAddress agentAddress;
@@ -63,6 +72,10 @@
     private long resendUntilNanos;
     /** True if the request was sent on a connection that earlier requests used. */
     private boolean connectionReused;
+    /** True while a request is written to the current connection and its response has not arrived. */
+    private boolean awaitingResponse;
+    /** The current connection must not be reused before this time. */
+    private long reusableAtNanos;
 
     AgentClient(EventLoop loop, InetSocketAddress agentAddress) {
         this.loop = loop;
@@ -74,8 +87,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(InboundCopyHandler.INSTANCE, new HttpClientCodec(),
-                                new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseReader());
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        ch.pipeline().addLast(new HttpRequestEncoder(), InboundCopyHandler.INSTANCE, decoder,
+                                new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseReader(decoder));
                     }
                 });
     }
@@ -94,12 +108,22 @@
         connectionReused = channel != null && channel.isActive();
         if (connectionReused) {
             resendUntilNanos = System.nanoTime() + CLOSE_RACE_NANOS;
-            channel.writeAndFlush(buildRequest());
+            Channel reusedChannel = channel;
+            loop.schedule(() -> writeRequest(reusedChannel), Math.max(0, reusableAtNanos - System.nanoTime()),
+                    TimeUnit.NANOSECONDS);
         } else {
             connect();
         }
     }
 
+    /** Writes the pending request unless its connection has been replaced or has ended. */
+    private void writeRequest(Channel target) {
+        if (target == channel && target.isActive() && pendingHandler != null && !awaitingResponse) {
+            awaitingResponse = true;
+            target.writeAndFlush(buildRequest());
+        }
+    }
+
     /** Builds the HTTP request to send or to resend. */
     private FullHttpRequest buildRequest() {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
@@ -112,9 +136,10 @@
     private void connect() {
         ChannelFuture connectFuture = bootstrap.connect(agentAddress);
         channel = connectFuture.channel();
+        awaitingResponse = false;
         connectFuture.addListener(connected -> {
             if (connected.isSuccess()) {
-                connectFuture.channel().writeAndFlush(buildRequest());
+                writeRequest(connectFuture.channel());
             } else {
                 connectionLost(connectFuture.channel());
             }
@@ -167,18 +192,54 @@
         }
     }
 
-    /** Passes responses on the current connection to the handler. */
+    /**
+     * Passes responses on the current connection to the handler. A connection that brings more than the response to its
+     * request is closed: what follows could be taken for a later response.
+     */
     private final class ResponseReader extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final ResponseDecoder decoder;
+        /** The response read in this pass; null if there is none. */
+        private Response response;
+        private boolean surplusReceived;
+
+        ResponseReader(ResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse received) {
+            if (ctx.channel() != channel) {
+                return;
+            }
+            if (!awaitingResponse || response != null) {
+                surplusReceived = true;
+                return;
+            }
+            response = new Response(received.status().code(), received.content().toString(StandardCharsets.UTF_8),
+                    HttpUtil.isKeepAlive(received) && received.decoderResult().isSuccess());
+        }
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        public void channelReadComplete(ChannelHandlerContext ctx) {
             if (ctx.channel() != channel) {
                 return;
             }
-            if (!HttpUtil.isKeepAlive(response)) {
+            Response complete = response;
+            response = null;
+            boolean requestEnded = complete != null || !awaitingResponse;
+            boolean surplus = surplusReceived || requestEnded && decoder.hasLeftover();
+            if (complete != null) {
+                awaitingResponse = false;
+                reusableAtNanos = System.nanoTime() + REUSE_DELAY_NANOS;
+                if (surplus || !complete.connectionReusable()) {
+                    channel = null;
+                    ctx.close();
+                }
+                finish(complete.status(), complete.body());
+            } else if (surplus) {
+                connectionLost(ctx.channel());
                 ctx.close();
-                channel = null;
             }
-            finish(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
         }
 
         @Override
--- a/src/main/java/drumdeal/relay/EarlyStatusDecoder.java
+++ b/src/main/java/drumdeal/relay/EarlyStatusDecoder.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -11,7 +10,7 @@
  * Decodes HTTP responses and makes the status of the expected response available as soon as its status line has
  * arrived. The status is valid even if the rest of the head is malformed or never ends.
  */
-final class EarlyStatusDecoder extends HttpResponseDecoder {
+final class EarlyStatusDecoder extends ResponseDecoder {
     /** Value of {@link #status} before the status line has arrived. */
     static final int UNKNOWN = 0;
     /** Value of {@link #status} after a malformed status line. */
@@ -43,11 +42,6 @@
         return status != UNKNOWN || skippingInformational || !line.isEmpty();
     }
 
-    /** True if bytes have been received that belong to no response decoded so far. */
-    boolean hasLeftover() {
-        return actualReadableBytes() > 0;
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         ByteBuf buffer = (ByteBuf) message;
@@ -57,12 +51,6 @@
         super.channelRead(ctx, message);
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-        InboundCopyHandler.trim(internalBuffer());
-        super.channelReadComplete(ctx);
-    }
-
     /** Adds a byte to the current line and evaluates the line once it ends. Empty lines ahead of a head are skipped. */
     private void scanByte(char next) {
         if (next == '\n') {
