--- a/src/main/java/drumdeal/relay/AgentClient.java
+++ b/src/main/java/drumdeal/relay/AgentClient.java
@@ -42,8 +42,8 @@
     private static final long CLOSE_RACE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /**
-     * Delay after a response before its connection is reused. A second copy of the response, or stray bytes right behind
-     * it, would otherwise be taken for the response to the next request.
+     * Delay after a response before its connection is reused. A second copy of the response, or stray bytes right
+     * behind it, would otherwise be taken for the response to the next request.
      */
     private static final long REUSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -84,7 +84,8 @@
 
     /** The handlers of the channel's pipeline, in order. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new InboundByteHandler(), InboundCopyHandler.INSTANCE, decoder, new HttpResponseEncoder(), this};
+        return new ChannelHandler[] {new InboundByteHandler(), InboundCopyHandler.INSTANCE, decoder,
+            new HttpResponseEncoder(), this};
     }
 
     boolean isResponsePending() {
--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -273,7 +273,8 @@
      * attempt in flight.
      */
     private void offerToSuccessor(Message message) {
-        boolean transferable = message.owned && message.pendingReply == null && message.nonDelivery == null && !message.finished
+        boolean transferable = message.owned && message.pendingReply == null && message.nonDelivery == null
+                && !message.finished
                 && !message.hasAttemptsInFlight();
         if (successor != null && transferable) {
             successor.offer(message);
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -193,6 +193,9 @@
      * no room, even after a compaction, or if the disk fails.
      */
     boolean recordAdopted(List<Message> messages) {
+        if (messages.isEmpty()) {
+            return true;
+        }
         List<byte[]> recordsByMessage = messages.stream().map(Journal::pack).toList();
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         recordsByMessage.forEach(records::writeBytes);
@@ -200,6 +203,7 @@
                 : DiskBudget.Purpose.ADOPTED;
         // Room for attempts is left as well, as far as a compaction makes it.
         makeRoom(records.size(), DiskBudget.Purpose.ATTEMPT);
+        makeRoom(records.size(), purpose);
         if (!append(records.toByteArray(), purpose)) {
             return false;
         }
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -56,7 +56,7 @@
     final List<Attempt> attempts = new ArrayList<>();
     /** Sends the response to the client that submitted the message; null if no client waits for it. */
     ClientReply pendingReply;
-    /** True once this process delivers the message; until then it belongs to another process, or waits in its folder. */
+    /** True once this process delivers the message; before, another process owns it, or its folder holds it. */
     boolean owned;
     /** Null until the message has ended undelivered. */
     NonDelivery nonDelivery;
