--- a/review/src-2/JournalCase.java
+++ b/review/src-2/JournalCase.java
@@ -9,15 +9,17 @@
  * Many refused calls make the relay compact its journal while it records an attempt; then it is killed and restarted.
  */
 public final class JournalCase {
-    private static final int HEALTHY = 6;
-    private static final int SHUT = 54;
+    private static final int HEALTHY = 22;
+    private static final int SHUT = 330;
     /** Fewer than a quarter of the messages go to destinations that are shut. */
-    private static final int HEALTHY_MESSAGES = 380;
-    private static final int SHUT_MESSAGES = 2 * SHUT;
-    private static final int LARGE_BODY = 2200;
+    private static final int HEALTHY_MESSAGES = 1310;
+    private static final int SHUT_MESSAGES = SHUT;
+    private static final int LARGE_BODY = 4800;
     private static final int USUAL_BODY = 212;
     private static final int SMALL_BODY = 10;
-    private static final long SHUT_MILLIS = 14_000;
+    private static final long SHUT_MILLIS = 7600;
+    /** The clump of messages comes this long after the destinations have shut. */
+    private static final long CLUMP_DELAY_MILLIS = 2800;
     private static final int PAYMENTS_BEFORE_KILL = 3;
 
     private JournalCase() { }
@@ -40,16 +42,16 @@
         }
         Rig.Setup setup = rig.new Setup(discovery);
         setup.fleetSize = 1;
-        setup.diskMb = "0.5";
+        setup.maxOpen = 340;
         Rig.Relay relay = rig.start(setup);
         Rig.pause(1500);
-        ExecutorService clients = Executors.newFixedThreadPool(16);
+        ExecutorService clients = Executors.newFixedThreadPool(48);
         for (int i = 0; i < HEALTHY_MESSAGES; i++) {
             String id = String.format("8b%014x", i);
             int destination = i % HEALTHY;
             clients.execute(() ->
                     rig.handIn(setup.clientPort, id, "position-update", destination, 24_000, SMALL_BODY));
-            Rig.pause(30);
+            Rig.pause(15);
         }
         Rig.pause(1000);
         if (trouble) {
@@ -57,13 +59,14 @@
             shutEndpoints.forEach(e -> e.behaviour = (endpoint, call, request) -> endpoint.answer(call, request, 503));
         }
         long shutAt = rig.now();
+        Rig.pause(CLUMP_DELAY_MILLIS);
         for (int i = 0; i < SHUT_MESSAGES; i++) {
             boolean payment = i % 2 == 0;
             String id = String.format("%s%014x", payment ? "9a" : "7c", i);
             int destination = HEALTHY + i % SHUT;
             clients.execute(() -> rig.handIn(setup.clientPort, id, payment ? "release-payment" : "position-update",
                     destination, payment ? 28_000 : 24_000, payment ? USUAL_BODY : LARGE_BODY));
-            Rig.pause(8);
+            Rig.pause(1);
         }
         rig.pauseUntil(shutAt + SHUT_MILLIS);
         rig.note("they are open again; calls so far " + rig.calls.size() + ", notices " + rig.notices.size());
