--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -431,6 +431,8 @@
     final class Connection {
         final SocketChannel channel;
         final Handler handler;
+        /** The endpoint that has answered on it; null if there is none. */
+        private volatile Endpoint owner;
         private ByteBuffer input = ByteBuffer.allocate(4096);
 
         Connection(SocketChannel channel, Handler handler) {
@@ -512,6 +514,7 @@
     /** Serves all stand-ins on one thread. */
     final class Net extends Thread {
         private final Selector selector;
+        private volatile boolean ended;
         private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
         private final java.util.PriorityQueue<Timer> timers =
                 new java.util.PriorityQueue<>(Comparator.comparingLong(Timer::at));
@@ -533,9 +536,19 @@
             execute(() -> timers.add(new Timer(at, task)));
         }
 
-        ServerSocketChannel listen(Handler handler) throws IOException {
+        /** Resets the connections of an endpoint. */
+        void resetAll(Endpoint endpoint) {
+            for (SelectionKey key : selector.keys()) {
+                if (key.attachment() instanceof Connection connection && connection.owner == endpoint) {
+                    connection.reset();
+                }
+            }
+        }
+
+        /** Listens at a port; 0 for any that is free. */
+        ServerSocketChannel listen(Handler handler, int port) throws IOException {
             ServerSocketChannel server = ServerSocketChannel.open();
-            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 200);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
             server.configureBlocking(false);
             execute(() -> {
                 try {
@@ -550,7 +563,7 @@
         @Override
         public void run() {
             try {
-                while (selector.isOpen()) {
+                while (!ended) {
                     long wait = timers.isEmpty() ? 50 : Math.max(1, Math.min(50, timers.peek().at() - now()));
                     selector.select(wait);
                     for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
@@ -566,8 +579,8 @@
                         serve(key);
                     }
                 }
-            } catch (IOException | java.nio.channels.ClosedSelectorException e) {
-                // The case is over. The end of the program closes the sockets.
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
             }
         }
 
@@ -589,13 +602,16 @@
             }
         }
 
+        /** Ends the thread; the end of the program closes the sockets. */
         void close() throws IOException {
-            selector.close();
+            ended = true;
+            selector.wakeup();
             try {
                 join();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+            selector.close();
         }
     }
 
@@ -617,7 +633,7 @@
         private final List<Request> watches = new ArrayList<>();
 
         Discovery() throws IOException {
-            server = net.listen(this::handle);
+            server = net.listen(this::handle, 0);
         }
 
         String address() {
@@ -705,7 +721,8 @@
         final String uid;
         final int destination;
         final String kind;
-        final ServerSocketChannel server;
+        private final int port;
+        private ServerSocketChannel server;
         volatile Behaviour behaviour;
 
         Endpoint(String uid, int destination, String kind, Behaviour behaviour) throws IOException {
@@ -713,16 +730,29 @@
             this.destination = destination;
             this.kind = kind;
             this.behaviour = behaviour;
-            server = net.listen(this::handle);
+            server = net.listen(this::handle, 0);
+            port = server.socket().getLocalPort();
+        }
+
+        /** Ends like a process that dies: its connections are reset and new ones refused. */
+        void stop() throws IOException {
+            server.close();
+            net.execute(() -> net.resetAll(this));
+        }
+
+        /** Listens again at the same address. */
+        void startAgain() throws IOException {
+            server = net.listen(this::handle, port);
         }
 
         String entry(String state) {
-            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + server.socket().getLocalPort()
+            return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port
                     + "\",\"az\":\"north-building\",\"model\":\"" + kind + "\",\"pod_group\":" + destination
                     + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
         }
 
         private void handle(Request request) {
+            request.connection.owner = this;
             Call call = new Call(request.id(), uid, now());
             calls.add(call);
             behaviour.onCall(this, call, request);
@@ -793,7 +823,8 @@
                     + "\"moves\":0.0,\"origin\":0.0,\"peer\":0.0,\"probe\":0.0,\"registry-mode\":0.0,\"waste\":0.03},"
                     + "\"fleet-size\":" + fleetSize + ",\"kinds\":[" + kinds + "],"
                     + "\"limits\":{\"conn-idle-s\":10.0,\"connect-timeout-s\":1.5,\"cpu-us-per-request\":0.0,"
-                    + "\"cpu-us-per-s\":100000,\"max-open\":" + maxOpen + ",\"max-retry-after-s\":2.0,\"max-streams\":1,"
+                    + "\"cpu-us-per-s\":100000,\"max-open\":" + maxOpen + ",\"max-retry-after-s\":2.0,"
+                    + "\"max-streams\":1,"
                     + "\"may-cancel\":true,\"peers\":false,\"probes\":false,\"retry-after\":true,"
                     + "\"second-copies\":true,\"send-cap\":12},\"me\":0,\"over-share-worth\":0.1,\"period-s\":0.005,"
                     + "\"registry-mode\":\"subscribe\",\"scoring-mix\":{\"whole\":0.45,\"worst-class\":0.2,"
