--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -26,6 +27,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
@@ -42,6 +44,8 @@
     static final int NOT_RUN = 20;
     /** A case that has not ended by then is ended, with all that it started. */
     private static final long LONGEST_CASE_MILLIS = 115_000;
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 30_000;
 
     /** The case can't be run here, which says nothing about the rule. */
     static final class CannotRun extends RuntimeException {
@@ -161,11 +165,17 @@
         }
     }
 
-    /** A free port of the loopback address. */
+    /** A free port of the loopback address, none of those that the system gives out by itself. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < 200; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // It is in use.
+            }
         }
+        throw new CannotRun("no free port");
     }
 
     /** The command named {@code run} in the deploy file. */
@@ -753,6 +763,10 @@
 
         private void handle(Request request) {
             request.connection.owner = this;
+            if (request.id() == null) {
+                request.connection.answer(400, "");
+                return;
+            }
             Call call = new Call(request.id(), uid, now());
             calls.add(call);
             behaviour.onCall(this, call, request);
