--- a/src/main/java/drumdeal/relay/HostClient.java
+++ b/src/main/java/drumdeal/relay/HostClient.java
@@ -349,9 +349,11 @@
             }
         }).connect(host.target.address());
         connections.add(connection);
-        future.channel().closeFuture().addListener(closed -> connectionClosed(connection));
+        // A channel that could not connect is closed before its failure is reported. Only connections that were
+        // established are handled as closed ones: otherwise a refused call would be connected anew before it has ended.
         future.addListener(connected -> {
             if (connected.isSuccess()) {
+                future.channel().closeFuture().addListener(closed -> connectionClosed(connection));
                 host.pendingConnects--;
                 release(connection);
             } else {
