Record an attempt right before it is sent, not while it waits for a connection

HostClient now asks for the record when the call has its connection. Attempts that end before that are recorded with their result; compaction leaves out those not recorded, so none is written twice.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -511,8 +511,7 @@
         message.attemptStarted();
         attemptsInFlight++;
         long remainingMicros = message.content.deadline() - now;
-        if (remainingMicros <= 0 || !journal.recordAttempt(attempt)) {
-            // An attempt that is not in the journal is not sent: after a restart the relay would not know of it.
+        if (remainingMicros <= 0) {
             attemptEnded(attempt, Result.NOT_SENT, false, 0, LimitReport.NONE);
             return;
         }
@@ -521,6 +520,16 @@
                         timeout > 0 ? Math.min(timeout, remainingMicros) : remainingMicros, sendDeadline));
     }
 
+    /**
+     * Records an attempt in the journal. One that is not in it is not sent: after a restart the relay would not know of
+     * it. One that is not sent is not in it without its result: after a restart it would count as one that may have run.
+     */
+    @Override
+    public boolean recordAttempt(Message.Attempt attempt) {
+        Message message = attempt.message;
+        return message.nonDelivery == null && !message.finished && journal.recordAttempt(attempt);
+    }
+
     @Override
     public void attemptEnded(Message.Attempt attempt, Result result, boolean endsMessage, long retryAfterMicros,
             LimitReport report) {
--- a/src/main/java/drumdeal/relay/HostCall.java
+++ b/src/main/java/drumdeal/relay/HostCall.java
@@ -142,6 +142,16 @@
         return !pendingAttempts.isEmpty();
     }
 
+    /** Records the attempts, which are about to be sent, and ends those that must not be; false if none is left. */
+    boolean recordAttempts() {
+        for (Message.Attempt attempt : List.copyOf(pendingAttempts.keySet())) {
+            if (!client.recordAttempt(attempt)) {
+                end(attempt, Result.NOT_SENT, false);
+            }
+        }
+        return probePath != null || hasPendingAttempts();
+    }
+
     /** Sets the connection on which the call is about to be sent. */
     void assignConnection(HostConnection assigned) {
         connection = assigned;
--- a/src/main/java/drumdeal/relay/HostClient.java
+++ b/src/main/java/drumdeal/relay/HostClient.java
@@ -40,8 +40,14 @@
      */
     private static final long LIMITED_IDLE_TIMEOUT_MICROS = 25_000;
 
-    /** Receives the results of attempts and probes. */
+    /** Records attempts before they are sent, and receives the results of attempts and probes. */
     interface ResultListener {
+        /**
+         * An attempt has a connection and is about to be sent. False if it must not be sent, as its message is over or
+         * the attempt can't be recorded.
+         */
+        boolean recordAttempt(Message.Attempt attempt);
+
         /**
          * An attempt ended. {@code messageFinished} is true if its message needs neither another attempt nor a notice.
          * {@code retryAfter} is the delay that the host asked for before the next call, 0 if none.
@@ -472,8 +478,10 @@
         if (clock.micros() < call.host().retryAfter.blockedUntil || clock.micros() >= call.sendDeadline()) {
             call.end(Result.NOT_SENT);
             release(connection);
-        } else {
+        } else if (call.recordAttempts()) {
             connection.send(call);
+        } else {
+            release(connection);
         }
     }
 
@@ -503,6 +511,11 @@
         }
     }
 
+    /** Called by {@link HostCall} for each of its attempts before it is sent; false if it must not be sent. */
+    boolean recordAttempt(Message.Attempt attempt) {
+        return resultListener.recordAttempt(attempt);
+    }
+
     /** Called by {@link HostCall} when one of its attempts has ended. */
     void attemptEnded(Message.Attempt attempt, Result result, boolean messageFinished, long retryAfter,
             LimitReport limitReport) {
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -235,10 +235,13 @@
 
     /** Records an attempt before its first byte is sent. Returns false if it can't be recorded. */
     boolean recordAttempt(Message.Attempt attempt) {
-        byte[] record = encodeRecord(attemptPayload(attempt.message, attempt));
         // Without attempts no message may end, and only the end of one would lead to a compaction.
-        makeRoom(record.length, DiskBudget.Purpose.ATTEMPT);
-        return appendForMessage(attempt.message, record, DiskBudget.Purpose.ATTEMPT);
+        makeRoom(encodeAttempt(attempt).length, DiskBudget.Purpose.ATTEMPT);
+        if (!appendForMessage(attempt.message, encodeAttempt(attempt), DiskBudget.Purpose.ATTEMPT)) {
+            return false;
+        }
+        attempt.markRecorded();
+        return true;
     }
 
     /** Compacts the segment if it has no room for a record and has it afterwards. */
@@ -253,11 +256,19 @@
 
     /**
      * Records the result of an attempt that has ended; it matters most if the result proves that the attempt took no
-     * effect.
+     * effect. An attempt that ended before it was to be sent is recorded together with its result.
      */
     void recordResult(Message.Attempt attempt) {
-        appendForMessage(attempt.message, encodeRecord(resultPayload(attempt.message, attempt)),
-                DiskBudget.Purpose.OUTCOME);
+        if (attempt.isRecorded()) {
+            appendForMessage(attempt.message, encodeResult(attempt), DiskBudget.Purpose.OUTCOME);
+            return;
+        }
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        records.writeBytes(encodeAttempt(attempt));
+        records.writeBytes(encodeResult(attempt));
+        if (appendForMessage(attempt.message, records.toByteArray(), DiskBudget.Purpose.OUTCOME)) {
+            attempt.markRecorded();
+        }
     }
 
     /** Records how a message ends undelivered, before the platform is notified of it. */
@@ -389,14 +400,19 @@
         }
     }
 
-    /** All records of a message: accepted, attempts with their results, end. */
+    /**
+     * All records of a message: accepted, attempts with their results, end. Attempts that are yet to be sent are left
+     * out.
+     */
     private static byte[] encodeRecords(Message message) throws IOException {
         ByteArrayOutputStream records = new ByteArrayOutputStream();
         records.write(encodeRecord(acceptedPayload(message)));
-        for (Message.Attempt attempt : message.attempts) {
-            records.write(encodeRecord(attemptPayload(message, attempt)));
+        message.attempts.stream().filter(attempt -> !attempt.isRecorded() && attempt.result != null)
+                .forEach(Message.Attempt::markRecorded);
+        for (Message.Attempt attempt : message.recordedAttempts()) {
+            records.write(encodeAttempt(attempt));
             if (attempt.result != null) {
-                records.write(encodeRecord(resultPayload(message, attempt)));
+                records.write(encodeResult(attempt));
             }
         }
         if (message.nonDelivery != null) {
@@ -424,23 +440,23 @@
         };
     }
 
-    private static PayloadWriter attemptPayload(Message message, Message.Attempt attempt) {
-        return out -> {
+    private static byte[] encodeAttempt(Message.Attempt attempt) {
+        return encodeRecord(out -> {
             out.writeByte(ATTEMPT);
-            out.writeLong(message.number);
-            out.writeInt(attempt.number);
+            out.writeLong(attempt.message.number);
+            out.writeInt(attempt.recordNumber());
             out.writeUTF(attempt.route);
             out.writeLong(attempt.sentAt);
-        };
+        });
     }
 
-    private static PayloadWriter resultPayload(Message message, Message.Attempt attempt) {
-        return out -> {
+    private static byte[] encodeResult(Message.Attempt attempt) {
+        return encodeRecord(out -> {
             out.writeByte(RESULT);
-            out.writeLong(message.number);
-            out.writeInt(attempt.number);
+            out.writeLong(attempt.message.number);
+            out.writeInt(attempt.recordNumber());
             out.writeUTF(attempt.result.name());
-        };
+        });
     }
 
     private static PayloadWriter endPayload(Message message) {
@@ -553,9 +569,11 @@
             throw new IOException("attempt " + number + " is out of order");
         }
         while (message.attempts.size() < number) {
-            message.addAttempt(route, sentAt).result = Policy.Result.NOT_SENT;
+            Message.Attempt notSent = message.addAttempt(route, sentAt);
+            notSent.result = Policy.Result.NOT_SENT;
+            notSent.markRecorded();
         }
-        message.addAttempt(route, sentAt);
+        message.addAttempt(route, sentAt).markRecorded();
     }
 
     /**
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -3,6 +3,7 @@
 import drumdeal.Policy;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** A message that a client submitted, and the state of its delivery. Times are in microseconds of {@link Clock}. */
@@ -34,6 +35,8 @@
         final long sentAt;
         /** Null until the attempt has ended; stays null if the process ended first. */
         Policy.Result result;
+        /** The attempt's number in the journal; negative until it is recorded there, and so before it is sent. */
+        private int recordNumber = -1;
 
         private Attempt(Message message, int number, String route, long sentAt) {
             this.message = message;
@@ -41,6 +44,25 @@
             this.route = route;
             this.sentAt = sentAt;
         }
+
+        /** True once the attempt is recorded in the journal; before, it was not sent. */
+        boolean isRecorded() {
+            return recordNumber >= 0;
+        }
+
+        /**
+         * The number under which the attempt is recorded, or is to be: its own, unless an attempt with a higher one
+         * was recorded before it. Numbers only rise in a journal; one left out counts as an attempt not sent.
+         */
+        int recordNumber() {
+            return isRecorded() ? recordNumber : Math.max(number, message.nextRecordNumber);
+        }
+
+        /** The attempt is recorded under its {@link #recordNumber}. */
+        void markRecorded() {
+            recordNumber = recordNumber();
+            message.nextRecordNumber = recordNumber + 1;
+        }
     }
 
     /** Number in the journal of the process that holds the message. */
@@ -68,6 +90,8 @@
     /** True once neither a delivery nor a notice is outstanding. */
     boolean finished;
     private int attemptsInFlight;
+    /** Above the record numbers of all attempts that are recorded. */
+    private int nextRecordNumber;
 
     Message(long number, Content content, Policy.RequestTerms terms) {
         this.number = number;
@@ -79,7 +103,11 @@
     /** A copy, with attempts and end, under a number of another journal. */
     Message withNumber(long newNumber) {
         Message copy = new Message(newNumber, content, terms);
-        attempts.forEach(attempt -> copy.addAttempt(attempt.route, attempt.sentAt).result = attempt.result);
+        for (Attempt attempt : attempts) {
+            Attempt copiedAttempt = copy.addAttempt(attempt.route, attempt.sentAt);
+            copiedAttempt.result = attempt.result;
+            copiedAttempt.markRecorded();
+        }
         copy.nonDelivery = nonDelivery;
         return copy;
     }
@@ -90,6 +118,12 @@
         return attempt;
     }
 
+    /** The attempts that are recorded in the journal, in the order of their numbers there. */
+    List<Attempt> recordedAttempts() {
+        return attempts.stream().filter(Attempt::isRecorded).sorted(Comparator.comparingInt(Attempt::recordNumber))
+                .toList();
+    }
+
     void attemptStarted() {
         attemptsInFlight++;
     }
--- a/src/test/java/drumdeal/relay/IdleHostConnectionTest.java
+++ b/src/test/java/drumdeal/relay/IdleHostConnectionTest.java
@@ -218,6 +218,11 @@
         }
     }
 
+    @Override
+    public boolean recordAttempt(Message.Attempt attempt) {
+        return true;
+    }
+
     @Override
     public void attemptEnded(Message.Attempt attempt, Result result, boolean messageFinished, long retryAfter,
             LimitReport limitReport) {
--- a/src/test/java/drumdeal/relay/JournalTest.java
+++ b/src/test/java/drumdeal/relay/JournalTest.java
@@ -187,6 +187,40 @@
         assertEquals(List.of(1L, 2L), readAfterReopening().stream().map(m -> m.number).toList());
     }
 
+    /** Guards against the end of the replay at an attempt that was recorded after a later one. */
+    @Test
+    void attemptRecordedAfterALaterOneIsKept() throws IOException {
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            Message message = createMessage(1, 10);
+            journal.recordAccepted(message);
+            Message.Attempt waiting = message.addAttempt("waiting", 1);
+            journal.recordAttempt(message.addAttempt("first", 2));
+            journal.recordAttempt(waiting);
+            waiting.result = Result.FULL;
+            journal.recordResult(waiting);
+            journal.recordAccepted(createMessage(2, 10));
+        }
+        List<Message> open = readAfterReopening();
+        assertEquals(List.of(1L, 2L), open.stream().map(m -> m.number).toList());
+        assertEquals(List.of(Result.NOT_SENT, "first", "waiting"), List.of(open.get(0).attempts.get(0).result,
+                open.get(0).attempts.get(1).route, open.get(0).attempts.get(2).route));
+        assertEquals(Result.FULL, open.get(0).attempts.get(2).result);
+    }
+
+    /** Guards against a refused attempt that no restart knows of: it counts towards the limit of attempts. */
+    @Test
+    void attemptThatEndedBeforeItWasSentIsRecordedWithItsResult() throws IOException {
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            Message message = createMessage(1, 10);
+            journal.recordAccepted(message);
+            Message.Attempt refused = message.addAttempt("refused", 1);
+            refused.result = Result.CONNECT_FAILED;
+            journal.recordResult(refused);
+        }
+        assertEquals(List.of(Result.CONNECT_FAILED),
+                readAfterReopening().get(0).attempts.stream().map(attempt -> attempt.result).toList());
+    }
+
     @Test
     void unfinishedCompactionIsIgnoredAndDeleted() throws IOException {
         try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
--- a/src/test/java/drumdeal/relay/RefusedConnectionTest.java
+++ b/src/test/java/drumdeal/relay/RefusedConnectionTest.java
@@ -10,7 +10,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,6 +24,7 @@
 class RefusedConnectionTest extends RelayTestBase {
     private static final Pattern FAILED_CONNECTS = Pattern.compile("CONNECT_FAILED (\\d+)");
     private static final int MAX_ATTEMPTS = 12;
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
     @BeforeEach
     void prepare() throws IOException {
@@ -103,4 +107,38 @@
         await(() -> host.hasReceived("u1"));
         assertFalse(relay.hasSentNotice("u1", "dead"));
     }
+
+    /** Guards against taking a call that still waited for its connection for one that may have run. */
+    @Test
+    void messageWhoseCallWaitedForItsConnectionIsDeliveredAfterAKill() throws IOException {
+        List<Socket> queued = new ArrayList<>();
+        try (ServerSocket unresponsive = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            fillAcceptQueue(unresponsive, queued);
+            listHostAtPort(unresponsive.getLocalPort());
+            assertEquals(202, relay.start().submit("u1", "unsafe", 7));
+            await(() -> relay.readLog().contains(" 1 calls without one"));
+            relay.kill();
+        } finally {
+            for (Socket socket : queued) {
+                socket.close();
+            }
+        }
+        listHost();
+        relay.start();
+        await(() -> host.hasReceived("u1"));
+        assertFalse(relay.hasSentNotice("u1", "dead"));
+    }
+
+    /** Connects to a server that accepts nothing until its system leaves a further connection unanswered. */
+    private static void fillAcceptQueue(ServerSocket server, List<Socket> queued) throws IOException {
+        while (true) {
+            Socket socket = new Socket();
+            queued.add(socket);
+            try {
+                socket.connect(server.getLocalSocketAddress(), CONNECT_TIMEOUT_MILLIS);
+            } catch (SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
 }
