--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -58,6 +58,11 @@
     private final IntervalCounters counters = new IntervalCounters();
     private final Stats stats = new Stats();
     private Policy.Settings settings;
+    /** The process folder; set by {@link #start}. */
+    private Path ownFolder;
+    /** Bytes of disk to reserve for the two files of the process folder beside the journal. */
+    private long routeStateFileBytes;
+    private long termsFileBytes;
     /** Time from the first event of a round until the round runs. */
     private long roundDelayMicros;
     /** Events for the next round, in order of arrival. */
@@ -111,6 +116,7 @@
         settings = newConfig.settings();
         roundDelayMicros = newConfig.roundDelayMicros();
         requestClasses.update(settings, clock.micros());
+        writeTerms();
         stats.registerClasses(requestClasses.classNames());
         stats.countReload();
         hostClient.applySettings(newConfig);
@@ -130,9 +136,14 @@
 
     /**
      * Restores the route list known from before ({@code knownTargets} may be empty), what an earlier process learned of
-     * its routes, and the unfinished messages of the journal.
+     * its routes, the terms of earlier settings that clients may still use, and the unfinished messages of the journal.
+     * {@code otherFolders} are the process folders of other processes, which run or have ended.
      */
-    void start(long knownVersion, List<Target> knownTargets, Path stateFolder) {
+    void start(long knownVersion, List<Target> knownTargets, Path stateFolder, List<Path> otherFolders) {
+        ownFolder = stateFolder;
+        addStoredTerms(stateFolder);
+        otherFolders.forEach(this::addStoredTerms);
+        writeTerms();
         loop.scheduleAtFixedRate(this::logCounters, COUNTERS_LOG_INTERVAL_MILLIS, COUNTERS_LOG_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         if (!knownTargets.isEmpty()) {
@@ -155,11 +166,25 @@
         // While another process takes the decisions, this one learns nothing more: its state would be written with the
         // current time although it is out of date.
         if (!decisionsSuspended) {
-            journal.budget().reserveForOtherFiles(
-                    RouteStateFile.write(stateFolder, policy.encodeLearnedState(), clock.micros(), diskBytes));
+            routeStateFileBytes =
+                    RouteStateFile.write(stateFolder, policy.encodeLearnedState(), clock.micros(), diskBytes);
+            journal.budget().reserveForOtherFiles(routeStateFileBytes + termsFileBytes);
         }
     }
 
+    /** Follows the terms that a process has left in its folder, as far as they still bind. */
+    private void addStoredTerms(Path processFolder) {
+        TermsHistory.Snapshot stored = TermsFile.read(processFolder);
+        if (stored != null) {
+            requestClasses.history().addFrom(stored, clock.micros());
+        }
+    }
+
+    private void writeTerms() {
+        termsFileBytes = TermsFile.write(ownFolder, requestClasses.history().snapshot(clock.micros()));
+        journal.budget().reserveForOtherFiles(routeStateFileBytes + termsFileBytes);
+    }
+
     /** Continues a message of another process: sends its notice if its end is decided, else continues its delivery. */
     private void resumeMessage(Message message) {
         message.owned = true;
@@ -222,6 +247,10 @@
         if (!listReceived && !snapshot.targets().isEmpty()) {
             updateTargets(Policy.RouteListUpdateType.CACHED, snapshot.listVersion(), snapshot.targets());
         }
+        if (snapshot.terms() != null) {
+            requestClasses.history().addFrom(snapshot.terms(), clock.micros());
+            writeTerms();
+        }
         addEvent(new Policy.LearnedStateRestored(snapshot.learnedState(), snapshot.callsInFlight()));
     }
 
@@ -247,7 +276,8 @@
         runRound();
         decisionsSuspended = true;
         return new HandoverSnapshot(listVersion, hostClient.targets(), policy.encodeLearnedState(),
-                hostClient.callsInFlight(), clientConnections + hostClient.connectionCount());
+                hostClient.callsInFlight(), clientConnections + hostClient.connectionCount(),
+                requestClasses.history().snapshot(clock.micros()));
     }
 
     /** Takes decisions again, starting with a round for the events that were kept. */
--- a/src/main/java/drumdeal/relay/FolderAdoption.java
+++ b/src/main/java/drumdeal/relay/FolderAdoption.java
@@ -99,10 +99,11 @@
         messages.stream().filter(message -> !message.owned).filter(condition).forEach(owner::takeOwnership);
     }
 
-    /** Deletes the folder's journal and gives the folder up; its messages would otherwise be adopted once more. */
+    /** Deletes what the folder holds and gives it up; its messages would otherwise be adopted once more. */
     private void releaseFolder() {
         try {
             Journal.deleteSegments(lockedFolder.folder());
+            TermsFile.delete(lockedFolder.folder());
             journal.budget().release(lockedFolder.folder());
             lockedFolder.close();
         } catch (IOException e) {
--- a/src/main/java/drumdeal/relay/HandoverSnapshot.java
+++ b/src/main/java/drumdeal/relay/HandoverSnapshot.java
@@ -16,9 +16,10 @@
  * @param learnedState what its decision module has learned, see {@link Policy#encodeLearnedState}
  * @param callsInFlight its calls in flight, which count towards the limit that both processes share
  * @param connections its connections to clients and hosts, which count towards the descriptors that both share
+ * @param terms the terms on which it accepts messages; null if its version does not send them
  */
 record HandoverSnapshot(long listVersion, List<Target> targets, byte[] learnedState, int callsInFlight,
-        int connections) {
+        int connections, TermsHistory.Snapshot terms) {
 
     void write(DataOutputStream out) throws IOException {
         out.writeLong(listVersion);
@@ -37,6 +38,10 @@
         out.write(learnedState);
         out.writeInt(callsInFlight);
         out.writeInt(connections);
+        // Versions that do not know what follows ignore the rest of the frame.
+        if (terms != null) {
+            terms.write(out);
+        }
     }
 
     static HandoverSnapshot read(DataInputStream in) throws IOException {
@@ -48,6 +53,9 @@
             targets.add(new Target(listed, Config.parseAddress(in.readUTF())));
         }
         byte[] learnedState = in.readNBytes(in.readInt());
-        return new HandoverSnapshot(listVersion, targets, learnedState, in.readInt(), in.readInt());
+        int callsInFlight = in.readInt();
+        int connections = in.readInt();
+        TermsHistory.Snapshot terms = in.available() > 0 ? TermsHistory.Snapshot.read(in) : null;
+        return new HandoverSnapshot(listVersion, targets, learnedState, callsInFlight, connections, terms);
     }
 }
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -435,7 +435,7 @@
             out.writeInt(content.body().length);
             out.write(content.body());
             if (message.terms != null) {
-                writeTerms(out, message.terms);
+                RequestTermsCodec.write(out, message.terms);
             }
         };
     }
@@ -536,7 +536,7 @@
             if (type == ACCEPTED_WITHOUT_TERMS || type == ACCEPTED_WITH_TERMS) {
                 Message.Content content = readContent(in);
                 Policy.RequestTerms terms = type == ACCEPTED_WITHOUT_TERMS ? null
-                        : readTerms(in, content.requestClass());
+                        : RequestTermsCodec.read(in, content.requestClass());
                 addUnfinishedMessage(new Message(number, content, terms), payload.length + RECORD_HEADER_BYTES);
                 return;
             }
@@ -598,27 +598,6 @@
         return new Message.Content(callId, requestClass, tenant, idempotencyKey, deadline, destination, body);
     }
 
-    /** The two enums are stored by position. */
-    private static void writeTerms(DataOutputStream out, Policy.RequestTerms terms) throws IOException {
-        Policy.RequestClass requestClass = terms.requestClass();
-        out.writeByte(requestClass.idempotency().ordinal());
-        out.writeByte(requestClass.keyScope().ordinal());
-        out.writeLong(requestClass.dedupWindowMicros());
-        out.writeLong(requestClass.goalMicros());
-        out.writeLong(requestClass.timeLimitMicros());
-        out.writeDouble(requestClass.value());
-        out.writeDouble(requestClass.lateValueShare());
-        out.writeBoolean(requestClass.orderedByKey());
-        out.writeInt(terms.maxAttempts());
-    }
-
-    private static Policy.RequestTerms readTerms(DataInputStream in, String name) throws IOException {
-        Policy.RequestClass requestClass = new Policy.RequestClass(name, Policy.Idempotency.values()[in.readByte()],
-                Policy.KeyScope.values()[in.readByte()], in.readLong(), in.readLong(), in.readLong(),
-                in.readDouble(), in.readDouble(), in.readBoolean());
-        return new Policy.RequestTerms(requestClass, in.readInt());
-    }
-
     /** Writes a text that may be null: whether there is one, then the text. */
     private static void writeOptional(DataOutputStream out, String text) throws IOException {
         out.writeBoolean(text != null);
--- a/src/main/java/drumdeal/relay/Relay.java
+++ b/src/main/java/drumdeal/relay/Relay.java
@@ -73,7 +73,8 @@
         try {
             loop.submit(() -> {
                 loopMonitor.checkPeriodically();
-                engine.start(config.knownListVersion(), config.knownTargets(), stateFolder.ownFolder());
+                engine.start(config.knownListVersion(), config.knownTargets(), stateFolder.ownFolder(),
+                        stateFolder.otherFolders());
                 discovery.start();
                 successor.listen(stateFolder.ownFolder());
             }).sync();
--- a/src/main/java/drumdeal/relay/RequestClassRegistry.java
+++ b/src/main/java/drumdeal/relay/RequestClassRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,40 +18,41 @@
  * changed class has to follow both the previous and the new rules.
  */
 final class RequestClassRegistry {
-    /** How long the previous terms remain valid along with new ones. Clients use new settings after 1.2 s. */
-    static final long CHANGEOVER_MICROS = 1_500_000;
-
     /** Names of the tenants; if there are none, a message may name any tenant or none. */
     private final Set<String> tenants = new HashSet<>();
-    /** Terms by class name. */
-    private Map<String, RequestTerms> currentTerms = new HashMap<>();
-    /** Terms before the last change of settings, by class name. */
-    private Map<String, RequestTerms> previousTerms = Map.of();
-    /** When the settings last changed, in microseconds of {@link Clock}. */
-    private long changedAt;
+    private final TermsHistory history;
 
     RequestClassRegistry(Policy.Settings settings) {
-        applySettings(settings);
+        history = new TermsHistory(termsByClass(settings));
+        applyTenants(settings);
     }
 
-    private void applySettings(Policy.Settings settings) {
-        currentTerms = new HashMap<>();
+    private static Map<String, RequestTerms> termsByClass(Policy.Settings settings) {
+        Map<String, RequestTerms> terms = new HashMap<>();
         int maxAttempts = settings.limits().maxAttempts();
         settings.classes().forEach(requestClass ->
-                currentTerms.put(requestClass.name(), new RequestTerms(requestClass, maxAttempts)));
+                terms.put(requestClass.name(), new RequestTerms(requestClass, maxAttempts)));
+        return terms;
+    }
+
+    private void applyTenants(Policy.Settings settings) {
         tenants.clear();
         settings.tenants().forEach(tenant -> tenants.add(tenant.name()));
     }
 
     /** Replaces the settings at the time {@code now}. */
     void update(Policy.Settings settings, long now) {
-        previousTerms = currentTerms;
-        changedAt = now;
-        applySettings(settings);
+        history.update(termsByClass(settings), now);
+        applyTenants(settings);
+    }
+
+    /** All terms that bind, with the time for which they do. */
+    TermsHistory history() {
+        return history;
     }
 
     Collection<String> classNames() {
-        return currentTerms.keySet();
+        return history.current().keySet();
     }
 
     /** The terms for a message; null if its class or tenant is unknown, or it lacks the key that its class needs. */
@@ -58,17 +60,19 @@
         if (!tenants.isEmpty() && !tenants.contains(content.tenant())) {
             return null;
         }
-        RequestTerms current = currentTerms.get(content.requestClass());
-        RequestTerms previous = now - changedAt < CHANGEOVER_MICROS ? previousTerms.get(content.requestClass()) : null;
-        RequestTerms terms = current == null ? previous
-                : previous == null || previous.equals(current) ? current : stricterTerms(previous, current);
+        RequestTerms current = history.current().get(content.requestClass());
+        List<RequestTerms> superseded = history.supersededTermsFor(content.requestClass(), now);
+        RequestTerms terms = current;
+        for (RequestTerms earlier : superseded) {
+            terms = terms == null || earlier.equals(terms) ? earlier : stricterTerms(earlier, terms);
+        }
         if (terms == null || terms.requestClass().idempotency() != Idempotency.BY_KEY
                 || content.idempotencyKey() != null) {
             return terms;
         }
-        // A client that still uses the previous settings may have no key to send. Without a key the message may take
+        // A client that still uses earlier settings may have no key to send. Without a key the message may take
         // effect at most once.
-        return previous == null || previous.equals(current) ? null : new RequestTerms(
+        return superseded.stream().allMatch(earlier -> earlier.equals(current)) ? null : new RequestTerms(
                 combineKeyRules(terms.requestClass(), Idempotency.ONCE, terms.requestClass()), terms.maxAttempts());
     }
 
--- a/src/main/java/drumdeal/relay/RouteStateFile.java
+++ b/src/main/java/drumdeal/relay/RouteStateFile.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.zip.CRC32;
 
 /**
@@ -38,15 +37,12 @@
         }
         byte[] file = ByteBuffer.allocate(HEADER_BYTES + state.length).putInt(VERSION).putLong(nowMicros)
                 .putInt(checksum(state, nowMicros)).put(state).array();
-        Path temporary = folder.resolve(FILE_NAME + ".new");
         try {
-            Files.write(temporary, file);
-            Files.move(temporary, folder.resolve(FILE_NAME), StandardCopyOption.ATOMIC_MOVE);
+            StateFolder.replaceFile(folder.resolve(FILE_NAME), file);
         } catch (IOException e) {
             Log.write("health: can't write the route state: " + e.getMessage());
         }
-        // Each file's last block is only partly used.
-        return 2L * (file.length + DiskBudget.BLOCK_BYTES);
+        return StateFolder.bytesToReserve(file.length);
     }
 
     /** Returns the state that the last process wrote. If it can't be used, logs the reason and returns null. */
--- a/src/main/java/drumdeal/relay/StateFolder.java
+++ b/src/main/java/drumdeal/relay/StateFolder.java
@@ -1,11 +1,14 @@
 package drumdeal.relay;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,6 +68,29 @@
         return others;
     }
 
+    /** Replaces a file as a whole: a kill at any time leaves the former content or the new one. */
+    static void replaceFile(Path file, byte[] content) throws IOException {
+        Path temporary = file.resolveSibling(file.getFileName() + ".new");
+        Files.write(temporary, content);
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** The bytes of disk that a file of {@code fileBytes} may take, together with its next replacement. */
+    static long bytesToReserve(long fileBytes) {
+        // Each file's last block is only partly used.
+        return 2 * (fileBytes + DiskBudget.BLOCK_BYTES);
+    }
+
+    /**
+     * Reads a whole file in pieces of a bounded size: the JDK reads into direct memory, which is scarce, and takes as
+     * much of it as one read asks for.
+     */
+    static byte[] readFile(Path file) throws IOException {
+        try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
+            return in.readAllBytes();
+        }
+    }
+
     /** Locks a process folder; null while it is owned, by another process or by this one. */
     static LockedFolder tryLock(Path folder) throws IOException {
         Files.createDirectories(folder);
