--- a/src/main/java/drumdeal/relay/Config.java
+++ b/src/main/java/drumdeal/relay/Config.java
@@ -10,7 +10,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -67,7 +66,7 @@
     static Config read(Map<String, String> environment) throws BadConfigException {
         Path file = Path.of(requireVariable(environment, "EDGE_CONFIG"));
         Path stateFolder = Path.of(requireVariable(environment, "EDGE_STATE"));
-        try (JsonParser parser = new JsonFactory().createParser(Files.readString(file))) {
+        try (JsonParser parser = new JsonFactory().createParser(StateFolder.readFile(file))) {
             parser.nextToken();
             if (!(JsonReader.readValue(parser) instanceof Map<?, ?> source) || parser.nextToken() != null) {
                 throw new JsonDataException("one object is needed");
--- a/src/main/java/drumdeal/relay/Handover.java
+++ b/src/main/java/drumdeal/relay/Handover.java
@@ -5,6 +5,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -29,6 +31,7 @@
     static final int VERSION = 1;
     private static final String SOCKET_NAME = "handover.sock";
     private static final int MAX_FRAME_BYTES = 16 << 20;
+    private static final int MAX_WRITE_BYTES = 64 << 10;
 
     /**
      * Type of a frame. Types are sent by position: constants must not be reordered or removed.
@@ -74,9 +77,21 @@
         return UnixDomainSocketAddress.of(socketPath(processFolder));
     }
 
+    /** Splits what is written: the JDK copies each piece as a whole to direct memory, which is scarce. */
+    private static final class WriteSplitter extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            ByteBuf bytes = (ByteBuf) message;
+            while (bytes.readableBytes() > MAX_WRITE_BYTES) {
+                ctx.write(bytes.readRetainedSlice(MAX_WRITE_BYTES));
+            }
+            ctx.write(bytes, promise);
+        }
+    }
+
     /** Makes a channel send and receive frames. A frame that can't be read closes the channel. */
     static void attachFrameHandler(Channel channel, FrameHandler handler) {
-        channel.pipeline().addLast(InboundCopyHandler.INSTANCE,
+        channel.pipeline().addLast(InboundCopyHandler.INSTANCE, new WriteSplitter(),
                 new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, Integer.BYTES, 0, Integer.BYTES),
                 new LengthFieldPrepender(Integer.BYTES), new SimpleChannelInboundHandler<ByteBuf>() {
                     @Override
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,7 +17,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32;
 
 /**
  * The write-ahead journal of accepted messages: one segment file of records, each with its length and checksum.
@@ -42,7 +42,8 @@
 
     private static final String SEGMENT_NAME_FORMAT = "journal-%010d.log";
     private static final String TEMPORARY_SEGMENT_NAME = "journal.new";
-    private static final int RECORD_HEADER_BYTES = Integer.BYTES * 2;
+    /** Most bytes of one write: the JDK copies them to direct memory, which is scarce. */
+    private static final int MAX_WRITE_BYTES = 64 << 10;
 
     /** Largest attempt number that replay accepts; a record with a larger one counts as damaged. */
     private static final int MAX_ATTEMPTS = 10_000;
@@ -138,11 +139,11 @@
     /** Decodes a message that another process encoded with {@link #pack}. */
     static Message unpack(byte[] records) throws IOException {
         Journal replayed = new Journal();
-        ByteBuffer buffer = ByteBuffer.wrap(records);
-        for (byte[] payload = readNextPayload(buffer); payload != null; payload = readNextPayload(buffer)) {
+        RecordReader reader = new RecordReader(new ByteArrayInputStream(records), records.length);
+        for (byte[] payload = reader.next(); payload != null; payload = reader.next()) {
             replayed.replayRecord(payload);
         }
-        if (buffer.hasRemaining() || replayed.unfinishedMessages.size() != 1) {
+        if (reader.position() < records.length || replayed.unfinishedMessages.size() != 1) {
             throw new IOException("the bytes are not the journal records of one message");
         }
         return replayed.unfinishedMessages().get(0);
@@ -195,20 +196,32 @@
         if (messages.isEmpty()) {
             return true;
         }
-        List<byte[]> recordsByMessage = messages.stream().map(Journal::pack).toList();
-        ByteArrayOutputStream records = new ByteArrayOutputStream();
-        recordsByMessage.forEach(records::writeBytes);
+        long bytes = messages.stream().mapToLong(message -> pack(message).length).sum();
         DiskBudget.Purpose purpose = unfinishedMessages.isEmpty() ? DiskBudget.Purpose.ADOPTED_INTO_EMPTY
                 : DiskBudget.Purpose.ADOPTED;
         // Room for attempts is left as well, as far as a compaction makes it.
-        makeRoom(records.size(), DiskBudget.Purpose.ATTEMPT);
-        makeRoom(records.size(), purpose);
-        if (!append(records.toByteArray(), purpose)) {
+        makeRoom(bytes, DiskBudget.Purpose.ATTEMPT);
+        makeRoom(bytes, purpose);
+        return !broken && budget.allowsSegment(segmentBytes + bytes, purpose) && writeAdopted(messages);
+    }
+
+    /** Writes the messages one by one, as all together may take more memory than there is; none of them if it fails. */
+    private boolean writeAdopted(List<Message> messages) {
+        long writtenBytes = 0;
+        Map<Message, Integer> sizes = new LinkedHashMap<>();
+        try {
+            for (Message message : messages) {
+                byte[] records = pack(message);
+                writeFully(segmentChannel, records, segmentBytes + writtenBytes);
+                writtenBytes += records.length;
+                sizes.put(message, records.length);
+            }
+        } catch (IOException e) {
+            onAppendFailed(e);
             return false;
         }
-        for (int i = 0; i < messages.size(); i++) {
-            addUnfinishedMessage(messages.get(i), recordsByMessage.get(i).length);
-        }
+        segmentBytes += writtenBytes;
+        sizes.forEach(this::addUnfinishedMessage);
         return true;
     }
 
@@ -245,7 +258,7 @@
     }
 
     /** Compacts the segment if it has no room for a record and has it afterwards. */
-    private void makeRoom(int recordBytes, DiskBudget.Purpose purpose) {
+    private void makeRoom(long recordBytes, DiskBudget.Purpose purpose) {
         boolean helps = !budget.allowsSegment(segmentBytes + recordBytes, purpose)
                 && budget.allowsSegment(unfinishedBytes + recordBytes, purpose);
         if (helps && System.nanoTime() - nextCompactionForRoomAtNanos >= 0) {
@@ -339,14 +352,14 @@
             segmentBytes += record.length;
             return true;
         } catch (IOException e) {
-            Log.write("journal: can't append a record, it is not stored: " + e.getMessage());
-            truncatePartialRecord();
+            onAppendFailed(e);
             return false;
         }
     }
 
-    /** Removes a partly written record: replay would stop at it and lose all records appended after it. */
-    private void truncatePartialRecord() {
+    /** Removes what was written of a record: replay would stop at it and lose all records appended after it. */
+    private void onAppendFailed(IOException cause) {
+        Log.write("journal: can't append a record, it is not stored: " + cause.getMessage());
         try {
             segmentChannel.truncate(segmentBytes);
         } catch (IOException e) {
@@ -358,7 +371,8 @@
 
     private static void writeFully(FileChannel channel, byte[] record, long offset) throws IOException {
         ByteBuffer remaining = ByteBuffer.wrap(record);
-        while (remaining.hasRemaining()) {
+        while (remaining.position() < record.length) {
+            remaining.limit(Math.min(record.length, remaining.position() + MAX_WRITE_BYTES));
             channel.write(remaining, offset + remaining.position());
         }
     }
@@ -478,53 +492,32 @@
             throw new UncheckedIOException(e);
         }
         byte[] record = bytes.toByteArray();
-        CRC32 crc = new CRC32();
-        crc.update(record, RECORD_HEADER_BYTES, record.length - RECORD_HEADER_BYTES);
-        ByteBuffer.wrap(record).putInt(record.length - RECORD_HEADER_BYTES).putInt((int) crc.getValue());
+        ByteBuffer.wrap(record).putInt(record.length - RecordReader.HEADER_BYTES)
+                .putInt(RecordReader.checksum(record, RecordReader.HEADER_BYTES));
         return record;
     }
 
     /** Replays the segment and truncates it at the first record that is incomplete, corrupt or can't be read. */
     private void replaySegment() throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(
-                (int) Math.min(segmentChannel.size(), Integer.MAX_VALUE - RECORD_HEADER_BYTES));
-        while (buffer.hasRemaining() && segmentChannel.read(buffer, buffer.position()) >= 0) {
-            continue;
-        }
-        buffer.flip();
+        long fileBytes = segmentChannel.size();
+        RecordReader reader = new RecordReader(Channels.newInputStream(segmentChannel), fileBytes);
         String damagedRecord = "an incomplete or corrupt record";
-        try {
-            for (byte[] payload = readNextPayload(buffer); payload != null; payload = readNextPayload(buffer)) {
+        for (byte[] payload = reader.next(); payload != null; payload = reader.next()) {
+            try {
                 replayRecord(payload);
-                segmentBytes = buffer.position();
+            } catch (IOException e) {
+                damagedRecord = "a record that can't be read (" + e.getMessage() + ")";
+                break;
             }
-        } catch (IOException e) {
-            damagedRecord = "a record that can't be read (" + e.getMessage() + ")";
+            segmentBytes = reader.position();
         }
-        if (segmentBytes < segmentChannel.size()) {
-            Log.write("journal: truncating at " + damagedRecord + ", dropping " + (segmentChannel.size() - segmentBytes)
+        if (segmentBytes < fileBytes) {
+            Log.write("journal: truncating at " + damagedRecord + ", dropping " + (fileBytes - segmentBytes)
                     + " bytes");
             segmentChannel.truncate(segmentBytes);
         }
     }
 
-    /** The payload of the next record; null at the end, or if the record is incomplete or its checksum wrong. */
-    private static byte[] readNextPayload(ByteBuffer buffer) {
-        if (buffer.remaining() < RECORD_HEADER_BYTES) {
-            return null;
-        }
-        int length = buffer.getInt();
-        int expectedChecksum = buffer.getInt();
-        if (length <= 0 || length > buffer.remaining()) {
-            return null;
-        }
-        byte[] payload = new byte[length];
-        buffer.get(payload);
-        CRC32 crc = new CRC32();
-        crc.update(payload);
-        return (int) crc.getValue() == expectedChecksum ? payload : null;
-    }
-
     /**
      * Applies one record. An accepted message is added to the unfinished ones; any other record is ignored if its
      * message is not among them.
@@ -537,7 +530,7 @@
                 Message.Content content = readContent(in);
                 Policy.RequestTerms terms = type == ACCEPTED_WITHOUT_TERMS ? null
                         : RequestTermsCodec.read(in, content.requestClass());
-                addUnfinishedMessage(new Message(number, content, terms), payload.length + RECORD_HEADER_BYTES);
+                addUnfinishedMessage(new Message(number, content, terms), payload.length + RecordReader.HEADER_BYTES);
                 return;
             }
             lastMessageNumber = Math.max(lastMessageNumber, number);
@@ -545,8 +538,8 @@
             if (entry == null) {
                 return;
             }
-            entry.sizeBytes += payload.length + RECORD_HEADER_BYTES;
-            unfinishedBytes += payload.length + RECORD_HEADER_BYTES;
+            entry.sizeBytes += payload.length + RecordReader.HEADER_BYTES;
+            unfinishedBytes += payload.length + RecordReader.HEADER_BYTES;
             Message message = entry.message;
             switch (type) {
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
--- a/src/main/java/drumdeal/relay/RouteStateFile.java
+++ b/src/main/java/drumdeal/relay/RouteStateFile.java
@@ -55,7 +55,7 @@
             if (Files.size(path) > diskLimitBytes / DISK_LIMIT_DIVISOR) {
                 return reportUnusable("the file is too large");
             }
-            ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+            ByteBuffer file = ByteBuffer.wrap(StateFolder.readFile(path));
             if (file.remaining() < HEADER_BYTES) {
                 return reportUnusable("the file is shorter than its header");
             }
--- a/src/main/java/drumdeal/relay/TermsFile.java
+++ b/src/main/java/drumdeal/relay/TermsFile.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.zip.CRC32;
 
 /**
  * Stores the terms that bind in a file of the process folder, so that they outlive the process: another one of the
@@ -27,7 +26,7 @@
      */
     static long write(Path folder, TermsHistory.Snapshot snapshot) {
         byte[] payload = Handover.toBytes(snapshot::write);
-        byte[] file = ByteBuffer.allocate(HEADER_BYTES + payload.length).putInt(VERSION).putInt(checksum(payload))
+        byte[] file = ByteBuffer.allocate(HEADER_BYTES + payload.length).putInt(VERSION).putInt(RecordReader.checksum(payload, 0))
                 .put(payload).array();
         try {
             StateFolder.replaceFile(folder.resolve(FILE_NAME), file);
@@ -51,7 +50,7 @@
             int storedChecksum = file.getInt();
             byte[] payload = new byte[file.remaining()];
             file.get(payload);
-            if (storedChecksum != checksum(payload)) {
+            if (storedChecksum != RecordReader.checksum(payload, 0)) {
                 throw new IOException("the checksum of the file is wrong");
             }
             return TermsHistory.Snapshot.read(new DataInputStream(new ByteArrayInputStream(payload)));
@@ -65,10 +64,4 @@
     static void delete(Path folder) throws IOException {
         Files.deleteIfExists(folder.resolve(FILE_NAME));
     }
-
-    private static int checksum(byte[] payload) {
-        CRC32 crc = new CRC32();
-        crc.update(payload);
-        return (int) crc.getValue();
-    }
 }
