Handle no further requests of a client that does not take its responses

Cause: ClientConnection answered on however many responses waited to be sent.

A connection with eight unsent responses is not read; it is reset if none is taken for 2.5 s. Interim responses count as well. The operators' door reads 16 KiB a connection; the handover's socket closes who does not ask to take over.

--- a/src/main/java/drumdeal/relay/AdminServer.java
+++ b/src/main/java/drumdeal/relay/AdminServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -23,6 +24,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -39,6 +41,8 @@
     /** Limit of open connections; {@link Config} reserves as many descriptors for them. */
     static final int MAX_CONNECTIONS = 24;
     private static final int MAX_REQUEST_BYTES = 4096;
+    /** Most bytes read on a connection, which carries one request with its head. */
+    private static final int MAX_CONNECTION_BYTES = 16 << 10;
     /** A connection is closed this long after it was accepted, whatever it has sent. */
     private static final long CONNECTION_TIMEOUT_MILLIS = 2000;
 
@@ -73,12 +77,28 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel connection) {
-                        connection.pipeline().addLast(InboundCopyHandler.INSTANCE, new HttpServerCodec(),
-                                new HttpObjectAggregator(MAX_REQUEST_BYTES), new RequestHandler());
+                        connection.pipeline().addLast(new InputLimiter(), InboundCopyHandler.INSTANCE,
+                                new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES), new RequestHandler());
                     }
                 }).bind(address);
     }
 
+    /** Closes a connection on which more is sent than one request: each further one may cost a response. */
+    private static final class InputLimiter extends ChannelInboundHandlerAdapter {
+        private int receivedBytes;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            receivedBytes += ((ByteBuf) message).readableBytes();
+            if (receivedBytes > MAX_CONNECTION_BYTES) {
+                ReferenceCountUtil.release(message);
+                ctx.close();
+            } else {
+                ctx.fireChannelRead(message);
+            }
+        }
+    }
+
     /** Handles one connection. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private Future<?> timeoutTimer;
--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -2,9 +2,11 @@
 
 import drumdeal.Policy;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
@@ -34,6 +36,10 @@
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
     /** Limit of complete requests that wait to be handled. */
     private static final int MAX_PIPELINED_REQUESTS = 8;
+    /** With as many responses that the client's system has not taken, no request is handled. */
+    private static final int MAX_UNSENT_RESPONSES = 8;
+    /** How long a client may take none of the responses that wait to be sent to it. */
+    private static final long WRITE_TIMEOUT_MILLIS = 2500;
     /** How long a client may take to send a request: the first from connecting, later ones from their first byte. */
     private static final long REQUEST_TIMEOUT_MILLIS = 2500;
     private static final long IDLE_TIMEOUT_MILLIS = 10_000;
@@ -47,7 +53,7 @@
     /** Complete requests that are not handled yet. */
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
     private final ClientRequestDecoder decoder =
-            new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS);
+            new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS && mayHandleRequests());
     /** The memory that the connection's input takes. */
     private final InputBudget.Share inputShare;
     private ChannelHandlerContext context;
@@ -74,6 +80,12 @@
     /** The accepted message whose response is pending; null otherwise. */
     private Message pendingMessage;
     private Future<?> timer;
+    /** Responses written to the channel that the client's system has not taken yet. */
+    private int unsentResponses;
+    /** Closes the connection of a client that takes no response; null if none waits to be sent. */
+    private Future<?> writeTimer;
+    /** True if requests wait until the client's system takes responses. */
+    private boolean waitingForWrites;
 
     ClientConnection(ClientServer server, Engine engine, Clock clock) {
         this.server = server;
@@ -213,6 +225,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
+        stopWriteTimer();
         pipelined.clear();
         partialRequest = null;
         server.onConnectionClosed(this);
@@ -257,8 +270,9 @@
             }
             partialRequest = request;
             if (HttpUtil.is100ContinueExpected(head) && !responsePending && pipelined.isEmpty()) {
-                ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                writeResponse(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                        Unpooled.EMPTY_BUFFER));
+                flush();
             }
         }
         if (part instanceof HttpContent content && partialRequest != null) {
@@ -295,9 +309,12 @@
         }
     }
 
-    /** Stops reading while too many requests are pipelined: a client that sends hundreds at once has to wait. */
+    /**
+     * Stops reading while too many requests are pipelined, or the client does not take its responses: a client that
+     * sends hundreds at once has to wait.
+     */
     private void updateAutoRead() {
-        boolean full = decoder.isPaused() || pipelined.size() >= MAX_PIPELINED_REQUESTS;
+        boolean full = decoder.isPaused() || pipelined.size() >= MAX_PIPELINED_REQUESTS || !mayHandleRequests();
         if (full) {
             readPausedSince = Math.min(readPausedSince, server.earliestByteArrival());
         }
@@ -306,7 +323,9 @@
 
     /** Decodes the bytes held back. Runs as a task of its own, so that other connections are served in between. */
     private void resumeDecoding() {
-        if (decoder.isPaused() && !closing && pipelined.size() < MAX_PIPELINED_REQUESTS) {
+        if (!mayHandleRequests()) {
+            waitingForWrites = true;
+        } else if (decoder.isPaused() && !closing && pipelined.size() < MAX_PIPELINED_REQUESTS) {
             try {
                 decoder.resume();
             } catch (Exception e) {
@@ -349,7 +368,7 @@
             return;
         }
         handlingPipelined = true;
-        while (!responsePending && !closing && !pipelined.isEmpty()) {
+        while (!responsePending && !closing && !pipelined.isEmpty() && mayHandleRequests()) {
             ClientRequest request = pipelined.poll();
             handleRequest(request);
             request.releaseMemory();
@@ -361,10 +380,72 @@
         handlingPipelined = false;
         if (decoder.isPaused() && !responsePending) {
             context.executor().schedule(this::resumeDecoding, 0, TimeUnit.MILLISECONDS);
-        } else if (!closing) {
+        }
+        flush();
+        waitingForWrites |= !mayHandleRequests();
+        if (!closing) {
             updateAutoRead();
         }
+    }
+
+    /** False while so many responses wait to be sent that another request has to wait. */
+    private boolean mayHandleRequests() {
+        return unsentResponses < MAX_UNSENT_RESPONSES;
+    }
+
+    /** Goes on with the requests that waited until the client's system took responses. */
+    private void resumeAfterWrites() {
+        if (waitingForWrites && !closing && context.channel().isActive()) {
+            waitingForWrites = false;
+            updateAutoRead();
+            handlePipelined();
+        }
+    }
+
+    /** Writes a response without sending it yet, and counts it until the client's system has taken it. */
+    private ChannelFuture writeResponse(FullHttpResponse response) {
+        unsentResponses++;
+        return context.write(response).addListener(written -> onResponseTaken());
+    }
+
+    private void onResponseTaken() {
+        unsentResponses--;
+        if (writeTimer != null) {
+            stopWriteTimer();
+            startWriteTimerIfNeeded();
+        }
+        if (waitingForWrites && unsentResponses == 0) {
+            // As a later task: responses are taken while others are being written.
+            context.executor().schedule(this::resumeAfterWrites, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Sends what is written. A client that does not take it in time is closed, whatever it sends. */
+    private void flush() {
         context.flush();
+        startWriteTimerIfNeeded();
+    }
+
+    private void startWriteTimerIfNeeded() {
+        if (unsentResponses > 0 && writeTimer == null && context.channel().isActive()) {
+            writeTimer = context.executor().schedule(this::onWriteTimeout, WRITE_TIMEOUT_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void onWriteTimeout() {
+        writeTimer = null;
+        engine.countTurnedAway("responses not read");
+        // Resets the connection: an orderly end would wait in the system behind the responses that are not read.
+        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        close();
+    }
+
+    private void stopWriteTimer() {
+        if (writeTimer != null) {
+            writeTimer.cancel(false);
+            writeTimer = null;
+        }
     }
 
     private void handleRequest(ClientRequest request) {
@@ -428,7 +509,7 @@
         Message answeredMessage = pendingMessage;
         pendingMessage = null;
         responsePending = false;
-        context.write(response).addListener(future -> {
+        writeResponse(response).addListener(future -> {
             if (!future.isSuccess() && answeredMessage != null) {
                 engine.withdraw(answeredMessage);
             }
@@ -443,7 +524,7 @@
         }
         // handlePipelined() flushes the responses of one pass together.
         if (!handlingPipelined) {
-            context.flush();
+            flush();
         }
     }
 
--- a/src/main/java/drumdeal/relay/SuccessorLink.java
+++ b/src/main/java/drumdeal/relay/SuccessorLink.java
@@ -76,6 +76,7 @@
                         @Override
                         protected void initChannel(Channel connection) {
                             Handover.attachFrameHandler(connection, (type, in) -> onFrame(connection, type, in));
+                            closeUnlessSuccessor(connection);
                         }
                     }).bind(Handover.socketAddress(ownFolder)).addListener(bound -> {
                         if (!bound.isSuccess()) {
@@ -87,6 +88,15 @@
         }
     }
 
+    /** Closes a connection on which nobody asks to take over. */
+    private void closeUnlessSuccessor(Channel connection) {
+        loop.schedule(() -> {
+            if (connection != successorChannel) {
+                connection.close();
+            }
+        }, LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void onFrame(Channel channel, Handover.FrameType type, DataInputStream in) throws IOException {
         if (type == Handover.FrameType.TAKEOVER_REQUEST && successorChannel == null
                 && in.readInt() == Handover.VERSION) {
