Remember the ids of messages that are over, and those of the older process

Cause: Engine knew the ids of the messages it holds alone; settled ones were forgotten at once, and a newer process knew none of the older one's.

One that certainly never ran may be accepted anew.

RepeatedCallIdTest: four tests failed before (two calls, or 202 for a dead one). HandoverStorageTest.messageSubmittedToBothProcessesIsDeliveredOnce: failed before.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -53,6 +53,10 @@
     /** Messages that are not settled, by their number in this process's journal, oldest first. */
     private final Map<Long, Message> messagesByNumber = new LinkedHashMap<>();
     private final Map<String, Message> messagesByCallId = new HashMap<>();
+    /** Messages that were settled here. */
+    private final CallIdHistory settledCallIds = new CallIdHistory();
+    /** Messages of the older process in an upgrade, as of its snapshot, that have not been handed over. */
+    private final CallIdHistory predecessorCallIds = new CallIdHistory();
     /** Attempts that the current round starts; they are sent at its end, those of one route together. */
     private final Map<String, List<HostClient.OutgoingAttempt>> outgoingByRoute = new LinkedHashMap<>();
     private final IntervalCounters counters = new IntervalCounters();
@@ -210,11 +214,18 @@
 
     @Override
     public Message registerIfUnknown(Message message) {
-        return messagesByCallId.containsKey(message.content.callId()) ? null : register(message);
+        return isKnown(message) ? null : register(message);
+    }
+
+    /** True if this process holds a message with the same id, or has held it. */
+    private boolean isKnown(Message message) {
+        String callId = message.content.callId();
+        return messagesByCallId.containsKey(callId) || settledCallIds.answerFor(callId, clock.micros()) != null;
     }
 
     /** Gives a message of another process a number of this one. A client that resends it is answered from now on. */
     private Message register(Message message) {
+        predecessorCallIds.remove(message.content.callId());
         Message renumbered = message.withNumber(nextNumber++);
         indexMessage(renumbered);
         return renumbered;
@@ -222,7 +233,7 @@
 
     @Override
     public Message receiveMessage(byte[] records) throws IOException {
-        return register(Journal.unpack(records));
+        return registerIfUnknown(Journal.unpack(records));
     }
 
     @Override
@@ -247,6 +258,7 @@
         if (!listReceived && !snapshot.targets().isEmpty()) {
             updateTargets(Policy.RouteListUpdateType.CACHED, snapshot.listVersion(), snapshot.targets());
         }
+        snapshot.callIds().forEach(entry -> predecessorCallIds.add(entry, clock.micros()));
         if (snapshot.terms() != null) {
             requestClasses.history().addFrom(snapshot.terms(), clock.micros());
             writeTerms();
@@ -277,7 +289,37 @@
         decisionsSuspended = true;
         return new HandoverSnapshot(listVersion, hostClient.targets(), policy.encodeLearnedState(),
                 hostClient.callsInFlight(), clientConnections + hostClient.connectionCount(),
-                requestClasses.history().snapshot(clock.micros()));
+                requestClasses.history().snapshot(clock.micros()), callIds());
+    }
+
+    /** The ids of all messages that this process holds or has held, for the process that takes over. */
+    private List<CallIdHistory.Entry> callIds() {
+        List<CallIdHistory.Entry> callIds = new ArrayList<>(predecessorCallIds.entries());
+        callIds.addAll(settledCallIds.entries());
+        messagesByCallId.values().forEach(message -> callIds.add(new CallIdHistory.Entry(message.content.callId(),
+                answerToRepetition(message), message.clientDeadline)));
+        return callIds;
+    }
+
+    /**
+     * What a client is answered that submits a message again which this process holds. A client resends a request if
+     * its connection closed before the response. The message is accepted already, so it is confirmed, unless the first
+     * request still waits for its response, so the message may be withdrawn, or the end of the message is decided.
+     */
+    private static CallIdHistory.Answer answerToRepetition(Message message) {
+        return message.pendingReply == null && message.nonDelivery == null && !message.finished
+                ? CallIdHistory.Answer.ACCEPTED : CallIdHistory.Answer.FAILED;
+    }
+
+    /** The same for a message that is settled; null if it certainly took no effect, so that it may be accepted anew. */
+    private static CallIdHistory.Answer answerAfterSettlement(Message message) {
+        if (message.attempts.stream().anyMatch(attempt -> attempt.result == Result.OK)) {
+            return CallIdHistory.Answer.ACCEPTED;
+        }
+        if (message.withdrawn || message.nonDelivery != null) {
+            return message.mayHaveTakenEffect() ? CallIdHistory.Answer.FAILED : null;
+        }
+        return CallIdHistory.Answer.ACCEPTED;
     }
 
     /** Takes decisions again, starting with a round for the events that were kept. */
@@ -390,12 +432,10 @@
      */
     Message acceptMessage(Message.Content content, Policy.RequestTerms terms, long unreadSince,
             Message.ClientReply reply) {
-        Message existing = messagesByCallId.get(content.callId());
-        if (existing != null) {
-            // A client resends a request if its connection closed before the response. The message is accepted
-            // already, so it is confirmed, unless the first request still waits for its response, so the message may
-            // be withdrawn, or the end of the message is decided.
-            if (existing.pendingReply == null && existing.nonDelivery == null && !existing.finished) {
+        CallIdHistory.Answer known = answerToRepetition(content.callId());
+        if (known != null) {
+            counters.count("submitted again");
+            if (known == CallIdHistory.Answer.ACCEPTED) {
                 reply.sendAccepted();
             } else {
                 reply.sendFailed();
@@ -435,6 +475,16 @@
         return message;
     }
 
+    /** What the client of a message with this id is answered; null if no such message is known. */
+    private CallIdHistory.Answer answerToRepetition(String callId) {
+        Message existing = messagesByCallId.get(callId);
+        if (existing != null) {
+            return answerToRepetition(existing);
+        }
+        CallIdHistory.Answer settled = settledCallIds.answerFor(callId, clock.micros());
+        return settled != null ? settled : predecessorCallIds.answerFor(callId, clock.micros());
+    }
+
     /** Counts a request that is not accepted. */
     void countTurnedAway(String reason) {
         counters.count("turned away: " + reason);
@@ -461,6 +511,7 @@
         message.pendingReply = null;
         if (messagesByNumber.containsKey(message.number) && message.nonDelivery == null && !message.finished) {
             counters.count("withdrawn");
+            message.withdrawn = true;
             addEvent(new Policy.RequestWithdrawn(message.number));
             finishMessage(message);
         }
@@ -617,8 +668,13 @@
 
     /** Forgets a message once it is finished and its last attempt has ended. */
     private void removeIfSettled(Message message) {
-        if (message.finished && !message.hasAttemptsInFlight()) {
+        if (message.finished && !message.hasAttemptsInFlight() && messagesByNumber.containsKey(message.number)) {
             unindexMessage(message);
+            CallIdHistory.Answer answer = answerAfterSettlement(message);
+            if (answer != null) {
+                settledCallIds.add(new CallIdHistory.Entry(message.content.callId(), answer, message.clientDeadline),
+                        clock.micros());
+            }
         }
     }
 
--- a/src/main/java/drumdeal/relay/HandoverSnapshot.java
+++ b/src/main/java/drumdeal/relay/HandoverSnapshot.java
@@ -17,9 +17,10 @@
  * @param callsInFlight its calls in flight, which count towards the limit that both processes share
  * @param connections its connections to clients and hosts, which count towards the descriptors that both share
  * @param terms the terms on which it accepts messages; null if its version does not send them
+ * @param callIds ids of messages that it holds or has held; empty if its version does not send them
  */
 record HandoverSnapshot(long listVersion, List<Target> targets, byte[] learnedState, int callsInFlight,
-        int connections, TermsHistory.Snapshot terms) {
+        int connections, TermsHistory.Snapshot terms, List<CallIdHistory.Entry> callIds) {
 
     void write(DataOutputStream out) throws IOException {
         out.writeLong(listVersion);
@@ -41,6 +42,10 @@
         // Versions that do not know what follows ignore the rest of the frame.
         if (terms != null) {
             terms.write(out);
+            out.writeInt(callIds.size());
+            for (CallIdHistory.Entry entry : callIds) {
+                entry.write(out);
+            }
         }
     }
 
@@ -56,6 +61,10 @@
         int callsInFlight = in.readInt();
         int connections = in.readInt();
         TermsHistory.Snapshot terms = in.available() > 0 ? TermsHistory.Snapshot.read(in) : null;
-        return new HandoverSnapshot(listVersion, targets, learnedState, callsInFlight, connections, terms);
+        List<CallIdHistory.Entry> callIds = new ArrayList<>();
+        for (int remaining = in.available() > 0 ? in.readInt() : 0; remaining > 0; remaining--) {
+            callIds.add(CallIdHistory.Entry.read(in));
+        }
+        return new HandoverSnapshot(listVersion, targets, learnedState, callsInFlight, connections, terms, callIds);
     }
 }
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -89,6 +89,8 @@
     Future<?> overdueTimer;
     /** True once neither a delivery nor a notice is outstanding. */
     boolean finished;
+    /** True if the client disconnected before its response. */
+    boolean withdrawn;
     private int attemptsInFlight;
     /** Above the record numbers of all attempts that are recorded. */
     private int nextRecordNumber;
@@ -132,6 +134,11 @@
         attemptsInFlight--;
     }
 
+    /** True unless every attempt has a result that proves that it took no effect. */
+    boolean mayHaveTakenEffect() {
+        return attempts.stream().anyMatch(attempt -> attempt.result == null || !attempt.result.provesNoEffect());
+    }
+
     boolean hasAttemptsInFlight() {
         return attemptsInFlight > 0;
     }
--- a/src/main/java/drumdeal/relay/PredecessorLink.java
+++ b/src/main/java/drumdeal/relay/PredecessorLink.java
@@ -34,7 +34,10 @@
         /** Applies the state of the older process, which takes no more decisions. */
         void applySnapshot(Path predecessorFolder, HandoverSnapshot snapshot);
 
-        /** Registers a message of the older process, which still owns it. */
+        /**
+         * Registers a message of the older process, which still owns it; null if this process holds or has held a
+         * message with the same id, which its client has submitted to both.
+         */
         Message receiveMessage(byte[] records) throws IOException;
 
         /**
@@ -142,8 +145,14 @@
             }
             case MESSAGE -> {
                 long number = in.readLong();
-                unstoredMessages.put(number, handler.receiveMessage(in.readAllBytes()));
-                storeMessages();
+                Message message = handler.receiveMessage(in.readAllBytes());
+                if (message == null) {
+                    // The older process gives up its copy: the one here is the only one that is delivered.
+                    acknowledge(number);
+                } else {
+                    unstoredMessages.put(number, message);
+                    storeMessages();
+                }
             }
             case MESSAGE_RELEASED -> {
                 Message message = unreleasedMessages.remove(in.readLong());
@@ -172,10 +181,14 @@
             unstored.remove();
             long number = received.getKey();
             unreleasedMessages.put(number, received.getValue());
-            Handover.send(channel, Handover.FrameType.MESSAGE_STORED, out -> out.writeLong(number));
+            acknowledge(number);
         }
     }
 
+    private void acknowledge(long number) {
+        Handover.send(channel, Handover.FrameType.MESSAGE_STORED, out -> out.writeLong(number));
+    }
+
     private void scheduleStoreRetry() {
         if (!storeWaitLogged) {
             storeWaitLogged = true;
--- a/src/test/java/drumdeal/relay/HandoverStorageTest.java
+++ b/src/test/java/drumdeal/relay/HandoverStorageTest.java
@@ -82,7 +82,7 @@
             channel = server.accept();
             in = new DataInputStream(Channels.newInputStream(channel));
             assertEquals("TAKEOVER_REQUEST", readFrame());
-            HandoverSnapshot snapshot = new HandoverSnapshot(-1, List.of(), new byte[0], 0, 0, null);
+            HandoverSnapshot snapshot = new HandoverSnapshot(-1, List.of(), new byte[0], 0, 0, null, List.of());
             UpgradeTest.writeFrame(channel, Handover.FrameType.SNAPSHOT, snapshot::write);
             assertEquals("LISTENING", readFrame());
         }
@@ -170,6 +170,23 @@
         }
     }
 
+    /** Guards against two runs of a message that its client has handed in at both processes. */
+    @Test
+    void messageSubmittedToBothProcessesIsDeliveredOnce() throws IOException {
+        try (OlderProcess older = new OlderProcess()) {
+            relay.startWithoutWaiting();
+            older.handOverDecisions();
+            older.collectAcknowledgements(true);
+            await(() -> relay.readLog().contains("serving on"));
+            assertEquals(202, relay.submit("m1", "unsafe", 7));
+            await(() -> host.countCalls("m1") == 1);
+            older.offer(createMessage(1, "m1", BUDGET_MILLIS));
+            older.offer(createMessage(2, "m2", BUDGET_MILLIS));
+            await(() -> older.storedNumbers.size() == 2 && host.countCalls("m2") == 1);
+            assertEquals(1, host.countCalls("m1"));
+        }
+    }
+
     /** Guards against messages that stay with the older process although others have ended and made room. */
     @Test
     void waitingMessagesAreStoredOnceThereIsRoom() throws IOException {
--- /dev/null
+++ b/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
@@ -0,0 +1,146 @@
+package drumdeal.relay;
+
+import static drumdeal.relay.RelayProcess.await;
+import static drumdeal.relay.StubPeer.respondWithStatus;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A message whose client left without reading its response, and submits it again under the same id. */
+class RepeatedCallIdTest extends RelayTestBase {
+    private RelayProcess successor;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(respondWithStatus(200)));
+    }
+
+    @AfterEach
+    void closeSuccessor() {
+        if (successor != null) {
+            successor.close();
+        }
+    }
+
+    /** Submits a message whose host is called after any that was accepted before. */
+    private void deliverAnother(RelayProcess process) {
+        String other = process.submitUntilAccepted("other", "unsafe", 7);
+        await(() -> host.hasReceived(other));
+    }
+
+    /** Submits a message until it is accepted: the older process may close the connection unread as it leaves. */
+    private void submitAgainDuringUpgrade(String id) {
+        await(() -> {
+            try {
+                return successor.submit(id, "unsafe", 7) == 202;
+            } catch (SocketException e) {
+                return false;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    /** Guards against a second run of a message that is delivered and forgotten. */
+    @Test
+    void deliveredMessageIsConfirmedAndNotDeliveredAgain() throws IOException {
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.hasReceived("u1") && relay.readOpenMessages().isEmpty());
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        deliverAnother(relay);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    /** Guards against a second run of a message that was reported dead, as it may have run. */
+    @Test
+    void deadMessageIsNotDeliveredAgain() throws IOException {
+        host.setResponder(request -> StubPeer.CLOSE_CONNECTION);
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> relay.hasSentNotice("u1", "dead") && relay.readOpenMessages().isEmpty());
+        host.setResponder(request -> respondWithStatus(200));
+        assertEquals(500, relay.submit("u1", "unsafe", 7));
+        deliverAnother(relay);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    /** A message that its client withdrew before anything was sent is accepted like a new one. */
+    @Test
+    void withdrawnMessageThatWasNotSentIsAcceptedAgain() throws IOException {
+        relay.roundPeriodSeconds("1").start();
+        try (Socket leaving = relay.connect()) {
+            leaving.getOutputStream().write(RelayProcess.messageRequest("u1", "unsafe", 7, 20_000, "x").getBytes());
+            await(() -> relay.readOpenMessages().size() == 1);
+        }
+        await(() -> relay.readOpenMessages().isEmpty());
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.countCalls("u1") == 1);
+    }
+
+    /** Guards against a second run at the newer process while the older one still has the message's call out. */
+    @Test
+    void messageThatTheOlderProcessHoldsIsNotDeliveredByTheNewerOne() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        host.setResponder(request -> {
+            if ("u1".equals(request.callId())) {
+                awaitLatch(mayRespond);
+            }
+            return respondWithStatus(200);
+        });
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.hasReceived("u1"));
+        successor = relay.createSuccessor().start();
+        submitAgainDuringUpgrade("u1");
+        mayRespond.countDown();
+        assertTrue(relay.waitForExit());
+        deliverAnother(successor);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    /** The same for a message that the older process has delivered. */
+    @Test
+    void messageThatTheOlderProcessDeliveredIsNotDeliveredByTheNewerOne() throws Exception {
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.hasReceived("u1") && relay.readOpenMessages().isEmpty());
+        successor = relay.createSuccessor().start();
+        submitAgainDuringUpgrade("u1");
+        assertTrue(relay.waitForExit());
+        deliverAnother(successor);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void idsAreForgottenAfterTheirTimeAndBeyondTheLimitOfMemory() {
+        CallIdHistory history = new CallIdHistory();
+        history.add(new CallIdHistory.Entry("first", CallIdHistory.Answer.FAILED, 100), 0);
+        assertEquals(CallIdHistory.Answer.FAILED, history.answerFor("first", 99));
+        assertNull(history.answerFor("first", 100));
+        for (int i = 0; i < 100_000; i++) {
+            history.add(new CallIdHistory.Entry("id" + i, CallIdHistory.Answer.ACCEPTED, 1000), 1);
+        }
+        assertNull(history.answerFor("first", 50));
+        assertEquals(CallIdHistory.Answer.ACCEPTED, history.answerFor("id99999", 1));
+        int remembered = history.entries().size();
+        assertTrue(remembered > 10_000 && remembered < 20_000, "ids: " + remembered);
+    }
+}
