Count the fields of incomplete heads and trailers towards the input limit

Cause: InputBudget counted a head once complete and a trailer never, 16 KB on the heap for each connection.

Fields count as they are decoded; beyond the limit the request gets 503. TrailerMemoryTest failed before (connection reset) and passes.

--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -52,10 +52,9 @@
     private final Clock clock;
     /** Complete requests that are not handled yet. */
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
-    private final ClientRequestDecoder decoder =
-            new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS && mayHandleRequests());
     /** The memory that the connection's input takes. */
     private final InputBudget.Share inputShare;
+    private final ClientRequestDecoder decoder;
     private ChannelHandlerContext context;
     private long openedAt;
     /** The earliest time at which the client can have connected. */
@@ -92,6 +91,8 @@
         this.engine = engine;
         this.clock = clock;
         inputShare = server.openInputShare();
+        decoder = new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS && mayHandleRequests(),
+                inputShare);
     }
 
     /** The handlers of the channel's pipeline, in order. */
@@ -257,7 +258,13 @@
         if (rejectionStatus != null || closing) {
             return;
         }
+        if (part.decoderResult().cause() instanceof ClientRequestDecoder.InputMemoryException) {
+            rejectForLackOfMemory();
+            return;
+        }
         if (part instanceof HttpRequest head) {
+            // The request counts them from here on.
+            inputShare.removeFields();
             ClientRequest request = new ClientRequest(head, inputShare);
             HttpResponseStatus status = request.rejectionStatus();
             if (status != null) {
@@ -301,6 +308,7 @@
         } else if (!partialRequest.tryAppendBody(content.content())) {
             rejectForLackOfMemory();
         } else if (content instanceof LastHttpContent) {
+            inputShare.removeFields();
             partialRequest.setEarliestArrival(earliestArrivalOfLastBytes);
             pipelined.add(partialRequest);
             partialRequest = null;
@@ -349,6 +357,7 @@
             partialRequest = null;
         }
         rejectionStatus = status;
+        inputShare.removeFields();
         decoder.discardInput();
         handlePipelined();
     }
--- a/src/main/java/drumdeal/relay/ClientRequest.java
+++ b/src/main/java/drumdeal/relay/ClientRequest.java
@@ -23,9 +23,6 @@
     /** The number of the destination among other parameters of the header. */
     private static final Pattern DESTINATION_PATTERN = Pattern.compile("(?:.*[;,\\s])?dest=(\\d{1,9})(?:[;,\\s].*)?");
 
-    /** Memory that a header field takes beside its name and value. */
-    private static final int HEADER_FIELD_OVERHEAD_BYTES = 160;
-
     private final HttpRequest head;
     private final InputBudget.Share inputShare;
     /** Bytes that {@link #inputShare} counts for this request. */
@@ -75,7 +72,7 @@
     boolean tryReserveHead() {
         int bytes = head.uri().length();
         for (Map.Entry<String, String> field : head.headers()) {
-            bytes += field.getKey().length() + field.getValue().length() + HEADER_FIELD_OVERHEAD_BYTES;
+            bytes += ClientRequestDecoder.fieldBytes(field.getKey(), field.getValue());
         }
         return tryReserve(bytes);
     }
--- a/src/main/java/drumdeal/relay/ClientRequestDecoder.java
+++ b/src/main/java/drumdeal/relay/ClientRequestDecoder.java
@@ -22,16 +22,32 @@
     /** Heads with more fields are malformed: each field takes far more memory than bytes on the network. */
     private static final int MAX_HEADER_FIELDS = 100;
 
+    /** Memory that a header field takes beside its name and value. */
+    private static final int FIELD_OVERHEAD_BYTES = 160;
+
+    /** The cause of a head or trailer that is malformed only as clients' input takes too much memory. */
+    static final class InputMemoryException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        InputMemoryException() {
+            super("the input of clients takes too much memory", null, false, false);
+        }
+    }
+
     private final BooleanSupplier mayDecode;
     private ChannelHandlerContext context;
     private boolean paused;
     private boolean discarding;
 
-    /** Decodes a part only while {@code mayDecode} returns true. */
-    ClientRequestDecoder(BooleanSupplier mayDecode) {
+    /**
+     * Decodes a part only while {@code mayDecode} returns true. {@code inputShare} counts the fields of a head or
+     * trailer until it is complete.
+     */
+    ClientRequestDecoder(BooleanSupplier mayDecode, InputBudget.Share inputShare) {
         super(new HttpDecoderConfig()
-                .setHeadersFactory(new LimitedHeadersFactory(DefaultHttpHeadersFactory.headersFactory()))
-                .setTrailersFactory(new LimitedHeadersFactory(DefaultHttpHeadersFactory.trailersFactory())));
+                .setHeadersFactory(new LimitedHeadersFactory(DefaultHttpHeadersFactory.headersFactory(), inputShare))
+                .setTrailersFactory(
+                        new LimitedHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), inputShare)));
         this.mayDecode = mayDecode;
     }
 
@@ -97,22 +113,31 @@
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) { }
 
-    /** Creates header fields that refuse to grow beyond {@link #MAX_HEADER_FIELDS}. */
-    private record LimitedHeadersFactory(DefaultHttpHeadersFactory validation) implements HttpHeadersFactory {
+    /** The memory that a header field takes, in bytes. */
+    static int fieldBytes(CharSequence name, CharSequence value) {
+        return name.length() + value.length() + FIELD_OVERHEAD_BYTES;
+    }
+
+    /** Creates header fields that refuse to grow beyond {@link #MAX_HEADER_FIELDS} or the memory of clients' input. */
+    private record LimitedHeadersFactory(DefaultHttpHeadersFactory validation, InputBudget.Share inputShare)
+            implements HttpHeadersFactory {
         @Override
         public HttpHeaders newHeaders() {
-            return new LimitedHeaders(validation);
+            return new LimitedHeaders(validation, inputShare);
         }
 
         @Override
         public HttpHeaders newEmptyHeaders() {
-            return new LimitedHeaders(validation);
+            return new LimitedHeaders(validation, inputShare);
         }
     }
 
     private static final class LimitedHeaders extends DefaultHttpHeaders {
-        LimitedHeaders(DefaultHttpHeadersFactory validation) {
+        private final InputBudget.Share inputShare;
+
+        LimitedHeaders(DefaultHttpHeadersFactory validation, InputBudget.Share inputShare) {
             super(validation.getNameValidator(), validation.getValueValidator());
+            this.inputShare = inputShare;
         }
 
         @Override
@@ -120,6 +145,9 @@
             if (size() >= MAX_HEADER_FIELDS) {
                 throw new TooLongHttpHeaderException("more than " + MAX_HEADER_FIELDS + " header fields");
             }
+            if (!inputShare.tryAddField(fieldBytes(name, value.toString()))) {
+                throw new InputMemoryException();
+            }
             return super.add(name, value);
         }
     }
--- a/src/main/java/drumdeal/relay/InputBudget.java
+++ b/src/main/java/drumdeal/relay/InputBudget.java
@@ -16,6 +16,8 @@
     final class Share {
         private int requestBytes;
         private int undecodedBytes;
+        /** Fields of the head or trailer that is being decoded. */
+        private int fieldBytes;
 
         /** Counts more bytes of requests; false, and nothing is counted, if the limit would be exceeded. */
         boolean tryAddRequestBytes(int bytes) {
@@ -32,6 +34,21 @@
             totalBytes -= bytes;
         }
 
+        /** Counts a field of an incomplete head or trailer; false, and nothing is counted, if the limit is exceeded. */
+        boolean tryAddField(int bytes) {
+            if (!tryReserve(bytes)) {
+                return false;
+            }
+            fieldBytes += bytes;
+            return true;
+        }
+
+        /** The head or trailer is complete, or dropped. */
+        void removeFields() {
+            totalBytes -= fieldBytes;
+            fieldBytes = 0;
+        }
+
         /** Replaces the count of undecoded bytes; false, and the count stays, if the limit would be exceeded. */
         boolean trySetUndecodedBytes(int bytes) {
             if (!tryReserve(bytes - undecodedBytes)) {
@@ -43,13 +60,14 @@
 
         /** Gives everything back. */
         void release() {
-            totalBytes -= requestBytes + undecodedBytes;
+            totalBytes -= requestBytes + undecodedBytes + fieldBytes;
             requestBytes = 0;
+            fieldBytes = 0;
             undecodedBytes = 0;
         }
 
         private boolean tryReserve(int bytes) {
-            boolean guaranteed = requestBytes + undecodedBytes + bytes <= GUARANTEED_BYTES;
+            boolean guaranteed = requestBytes + undecodedBytes + fieldBytes + bytes <= GUARANTEED_BYTES;
             if (bytes > 0 && !guaranteed && totalBytes + bytes > MAX_TOTAL_BYTES) {
                 return false;
             }
