--- a/src/test/java/drumdeal/relay/JournalTest.java
+++ b/src/test/java/drumdeal/relay/JournalTest.java
@@ -187,6 +187,35 @@
         assertEquals(List.of(1L, 2L), readAfterReopening().stream().map(m -> m.number).toList());
     }
 
+    /** Guards against an attempt that the compaction which makes room for its record writes as well. */
+    @Test
+    void attemptThatNeedsACompactionIsRecordedOnce() throws IOException {
+        long limitBytes = 100_000;
+        try (Journal journal = new Journal(folder, limitBytes)) {
+            List<Message> open = new ArrayList<>();
+            for (int number = 1; number <= 3; number++) {
+                open.add(createMessage(number, 9_500));
+                assertTrue(journal.recordAccepted(open.get(number - 1)));
+            }
+            for (int number = 4; number <= 8; number++) {
+                Message finished = createMessage(number, 100);
+                assertTrue(journal.recordAccepted(finished));
+                for (int attempts = 0; attempts < 25; attempts++) {
+                    assertTrue(journal.recordAttempt(finished.addAttempt("a-route-of-some-length", 50)));
+                }
+                journal.recordDone(finished);
+            }
+            Path segment = segmentFile();
+            while (Files.exists(segment)) {
+                assertTrue(journal.recordAttempt(open.get(0).addAttempt("r", 50)));
+            }
+            assertTrue(journal.recordAttempt(open.get(1).addAttempt("after the compaction", 60)));
+            List<Message> found = readAfterReopening();
+            assertEquals(open.get(0).attempts.size(), found.get(0).attempts.size());
+            assertEquals(1, found.get(1).attempts.size(), "attempts recorded after the compaction");
+        }
+    }
+
     /** Guards against the end of the replay at an attempt that was recorded after a later one. */
     @Test
     void attemptRecordedAfterALaterOneIsKept() throws IOException {
