Accept no message that takes all of them over a quarter of the heap

With a large disk limit a relay ended for lack of heap while notices were not acknowledged: such messages are held with their bodies and count no longer towards max-open, and 0.3 of the disk may be more than the heap.

They get 503 (turned away: message memory). LargeFilesTest.messagesThatWait... failed before (connection reset as the relay ended) and passes.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -34,6 +34,11 @@
     private static final long RETRY_AFTER_MICROS = 1_000_000;
     /** How long a request may have lain unread and still be accepted. Clients wait 400 ms for their response. */
     private static final long MAX_READ_DELAY_MICROS = 400_000;
+    /**
+     * Memory that all messages may take. The limit on the disk does not bound it, nor does the limit on open messages:
+     * those whose notice is not acknowledged are held as well.
+     */
+    private static final long MAX_MESSAGE_BYTES = Runtime.getRuntime().maxMemory() / 4;
     private static final long COUNTERS_LOG_INTERVAL_MILLIS = 2000;
     private static final long ROUTE_STATE_WRITE_INTERVAL_MILLIS = 1000;
     /** A timer that the module does not use; its event only starts a round. */
@@ -456,6 +461,7 @@
         String rejectionReason = !ready ? "not ready" : unreadTooLong ? "behind"
                 : !destinationKnown ? "unknown destination"
                 : openMessageCount >= settings.limits().maxOpenRequests() ? "full"
+                : journal.unfinishedBytes() + content.body().length > MAX_MESSAGE_BYTES ? "message memory"
                 : !journal.recordAccepted(message) ? "no disk" : null;
         if (rejectionReason != null) {
             countTurnedAway(rejectionReason);
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -225,6 +225,11 @@
         return true;
     }
 
+    /** The size of the records of all messages without a DONE record, in bytes; the messages take as much memory. */
+    long unfinishedBytes() {
+        return unfinishedBytes;
+    }
+
     /** A number above those of all messages that the journal has recorded. */
     long nextMessageNumber() {
         return lastMessageNumber + 1;
--- a/src/test/java/drumdeal/relay/LargeFilesTest.java
+++ b/src/test/java/drumdeal/relay/LargeFilesTest.java
@@ -74,6 +74,24 @@
         assertServes();
     }
 
+    /** Guards against large messages that the disk has room for and the heap has not, held for their notices. */
+    @Test
+    void messagesThatWaitForTheirNoticesDoNotExhaustTheHeap() throws IOException {
+        discovery.setResponder(request -> StubPeer.NO_RESPONSE);
+        host.setResponder(request -> StubPeer.CLOSE_CONNECTION);
+        relay.limitDisk(4 * DISK_LIMIT_MB).start();
+        int accepted = 0;
+        for (int i = 0; i < 1000; i++) {
+            accepted += relay.submit("m" + i, "unsafe", 7, 20_000, "x".repeat(BODY_BYTES)) == 202 ? 1 : 0;
+        }
+        assertTrue(accepted > 100, "accepted: " + accepted);
+        await(() -> relay.readLog().contains("turned away: message memory"));
+        assertTrue(relay.isAlive());
+        discovery.setResponder(request -> respondWithStatus(204));
+        await(() -> relay.readOpenMessages().isEmpty());
+        relay.submitUntilAccepted("later", "safe", 7);
+    }
+
     @Test
     void largeRouteStateIsRead() throws IOException {
         Files.createDirectories(relay.stateFolder());
