--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -2,11 +2,9 @@
 
 import drumdeal.Policy;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
@@ -36,10 +34,6 @@
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
     /** Limit of complete requests that wait to be handled. */
     private static final int MAX_PIPELINED_REQUESTS = 8;
-    /** With as many responses that the client's system has not taken, no request is handled. */
-    private static final int MAX_UNSENT_RESPONSES = 8;
-    /** How long a client may take none of the responses that wait to be sent to it. */
-    private static final long WRITE_TIMEOUT_MILLIS = 2500;
     /** How long a client may take to send a request: the first from connecting, later ones from their first byte. */
     private static final long REQUEST_TIMEOUT_MILLIS = 2500;
     private static final long IDLE_TIMEOUT_MILLIS = 10_000;
@@ -79,19 +73,15 @@
     /** The accepted message whose response is pending; null otherwise. */
     private Message pendingMessage;
     private Future<?> timer;
-    /** Responses written to the channel that the client's system has not taken yet. */
-    private int unsentResponses;
-    /** Closes the connection of a client that takes no response; null if none waits to be sent. */
-    private Future<?> writeTimer;
-    /** True if requests wait until the client's system takes responses. */
-    private boolean waitingForWrites;
+    /** Null until the connection is open. */
+    private UnsentResponses responses;
 
     ClientConnection(ClientServer server, Engine engine, Clock clock) {
         this.server = server;
         this.engine = engine;
         this.clock = clock;
         inputShare = server.openInputShare();
-        decoder = new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS && mayHandleRequests(),
+        decoder = new ClientRequestDecoder(() -> pipelined.size() < MAX_PIPELINED_REQUESTS && !responses.isFull(),
                 inputShare);
     }
 
@@ -202,6 +192,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
+        responses = new UnsentResponses(ctx, this::resumeAfterWrites,
+                () -> engine.countTurnedAway("responses not read"));
         openedAt = clock.micros();
         earliestConnectionArrival = server.earliestConnectionArrival();
         startTimer(REQUEST_TIMEOUT_MILLIS, this::onRequestTimeout);
@@ -226,7 +218,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
-        stopWriteTimer();
+        responses.stop();
         pipelined.clear();
         partialRequest = null;
         server.onConnectionClosed(this);
@@ -277,9 +269,9 @@
             }
             partialRequest = request;
             if (HttpUtil.is100ContinueExpected(head) && !responsePending && pipelined.isEmpty()) {
-                writeResponse(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                responses.write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
                         Unpooled.EMPTY_BUFFER));
-                flush();
+                responses.flush();
             }
         }
         if (part instanceof HttpContent content && partialRequest != null) {
@@ -322,7 +314,7 @@
      * sends hundreds at once has to wait.
      */
     private void updateAutoRead() {
-        boolean full = decoder.isPaused() || pipelined.size() >= MAX_PIPELINED_REQUESTS || !mayHandleRequests();
+        boolean full = decoder.isPaused() || pipelined.size() >= MAX_PIPELINED_REQUESTS || responses.isFull();
         if (full) {
             readPausedSince = Math.min(readPausedSince, server.earliestByteArrival());
         }
@@ -331,8 +323,8 @@
 
     /** Decodes the bytes held back. Runs as a task of its own, so that other connections are served in between. */
     private void resumeDecoding() {
-        if (!mayHandleRequests()) {
-            waitingForWrites = true;
+        if (responses.isFull()) {
+            responses.awaitSpace();
         } else if (decoder.isPaused() && !closing && pipelined.size() < MAX_PIPELINED_REQUESTS) {
             try {
                 decoder.resume();
@@ -377,7 +369,7 @@
             return;
         }
         handlingPipelined = true;
-        while (!responsePending && !closing && !pipelined.isEmpty() && mayHandleRequests()) {
+        while (!responsePending && !closing && !pipelined.isEmpty() && !responses.isFull()) {
             ClientRequest request = pipelined.poll();
             handleRequest(request);
             request.releaseMemory();
@@ -390,73 +382,23 @@
         if (decoder.isPaused() && !responsePending) {
             context.executor().schedule(this::resumeDecoding, 0, TimeUnit.MILLISECONDS);
         }
-        flush();
-        waitingForWrites |= !mayHandleRequests();
+        responses.flush();
+        if (responses.isFull()) {
+            responses.awaitSpace();
+        }
         if (!closing) {
             updateAutoRead();
         }
     }
 
-    /** False while so many responses wait to be sent that another request has to wait. */
-    private boolean mayHandleRequests() {
-        return unsentResponses < MAX_UNSENT_RESPONSES;
-    }
-
     /** Goes on with the requests that waited until the client's system took responses. */
     private void resumeAfterWrites() {
-        if (waitingForWrites && !closing && context.channel().isActive()) {
-            waitingForWrites = false;
+        if (!closing && context.channel().isActive()) {
             updateAutoRead();
             handlePipelined();
         }
     }
 
-    /** Writes a response without sending it yet, and counts it until the client's system has taken it. */
-    private ChannelFuture writeResponse(FullHttpResponse response) {
-        unsentResponses++;
-        return context.write(response).addListener(written -> onResponseTaken());
-    }
-
-    private void onResponseTaken() {
-        unsentResponses--;
-        if (writeTimer != null) {
-            stopWriteTimer();
-            startWriteTimerIfNeeded();
-        }
-        if (waitingForWrites && unsentResponses == 0) {
-            // As a later task: responses are taken while others are being written.
-            context.executor().schedule(this::resumeAfterWrites, 0, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** Sends what is written. A client that does not take it in time is closed, whatever it sends. */
-    private void flush() {
-        context.flush();
-        startWriteTimerIfNeeded();
-    }
-
-    private void startWriteTimerIfNeeded() {
-        if (unsentResponses > 0 && writeTimer == null && context.channel().isActive()) {
-            writeTimer = context.executor().schedule(this::onWriteTimeout, WRITE_TIMEOUT_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void onWriteTimeout() {
-        writeTimer = null;
-        engine.countTurnedAway("responses not read");
-        // Resets the connection: an orderly end would wait in the system behind the responses that are not read.
-        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        close();
-    }
-
-    private void stopWriteTimer() {
-        if (writeTimer != null) {
-            writeTimer.cancel(false);
-            writeTimer = null;
-        }
-    }
-
     private void handleRequest(ClientRequest request) {
         responsePending = true;
         HttpRequest head = request.head();
@@ -518,7 +460,7 @@
         Message answeredMessage = pendingMessage;
         pendingMessage = null;
         responsePending = false;
-        writeResponse(response).addListener(future -> {
+        responses.write(response).addListener(future -> {
             if (!future.isSuccess() && answeredMessage != null) {
                 engine.withdraw(answeredMessage);
             }
@@ -533,7 +475,7 @@
         }
         // handlePipelined() flushes the responses of one pass together.
         if (!handlingPipelined) {
-            flush();
+            responses.flush();
         }
     }
 
