Accept all connections that wait before the listening socket is closed

Cause: the JDK keeps a socket open that is registered with a selector until the selector polls again. Until then, after stopListening() had accepted what waited, the system took further connections and reset them.

Change: ClientServerChannel ends its registration first, accepts until nothing waits and closes at once. A process that hands over ends only once its socket is closed.

--- a/src/main/java/drumdeal/relay/ClientServer.java
+++ b/src/main/java/drumdeal/relay/ClientServer.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.HashSet;
@@ -50,7 +48,7 @@
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>();
     private final InputBudget inputBudget = new InputBudget();
     /** Null until {@link #listen} is called. */
-    private Channel serverChannel;
+    private ClientServerChannel serverChannel;
     /** Earliest arrival of connections that the last pass may have left unaccepted; MAX_VALUE if it left none. */
     private long unacceptedSince = Long.MAX_VALUE;
     private boolean markedUnready;
@@ -68,7 +66,7 @@
 
     /** Listens for clients at an address. */
     ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
-        ChannelFuture bindFuture = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bindFuture = new ServerBootstrap().group(loop).channelFactory(ClientServerChannel::new)
                 .option(ChannelOption.SO_BACKLOG, MAX_LISTEN_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 // Lets the next version of the relay listen before this one has ended.
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
@@ -79,7 +77,7 @@
                         ch.pipeline().addLast(new ClientConnection(ClientServer.this, engine, clock).handlers());
                     }
                 }).bind(address);
-        serverChannel = bindFuture.channel();
+        serverChannel = (ClientServerChannel) bindFuture.channel();
         return bindFuture;
     }
 
@@ -164,8 +162,8 @@
         return draining;
     }
 
-    /** True if no connection is left on which a response may still be sent. */
-    boolean hasNoActiveClients() {
+    /** True if no connection that is accepted is left on which a response may still be sent. */
+    private boolean hasNoActiveClients() {
         return connections.stream().allMatch(ClientConnection::isClosing);
     }
 
@@ -186,15 +184,11 @@
             return;
         }
         // A channel that is not bound yet has nothing to accept.
-        if (!serverChannel.isActive()) {
-            serverChannel.close();
-            return;
-        }
-        ((AbstractNioChannel) serverChannel).unsafe().read();
-        if (unacceptedSince == Long.MAX_VALUE) {
-            serverChannel.close();
+        if (serverChannel.isActive()) {
+            unacceptedSince = earliestConnectionArrival();
+            serverChannel.acceptAllAndClose();
         } else {
-            serverChannel.eventLoop().execute(this::stopListening);
+            serverChannel.close();
         }
     }
 
@@ -203,6 +197,11 @@
         return serverChannel == null || !serverChannel.isOpen();
     }
 
+    /** True if no client can connect any more, and no connection is left on which a response may still be sent. */
+    boolean hasServedAllClients() {
+        return hasStoppedListening() && hasNoActiveClients();
+    }
+
     /** Reads what clients have sent so far, without waiting for the loop's next pass. */
     void readNow() {
         List.copyOf(connections).stream().filter(connection -> !connection.isClosing())
--- a/src/main/java/drumdeal/relay/Relay.java
+++ b/src/main/java/drumdeal/relay/Relay.java
@@ -186,7 +186,7 @@
 
     /** Ends the process once it has no client and no message. Until then the successor works with lower limits. */
     private void exitWhenHandedOver() {
-        if (clientServer.hasNoActiveClients() && engine.hasNoMessages()) {
+        if (clientServer.hasServedAllClients() && engine.hasNoMessages()) {
             Log.write("all is passed on");
             exitLatch.countDown();
             // Not on the event loop: System.exit() waits for the shutdown hook, which needs the loop, so each would
@@ -284,8 +284,8 @@
         }
         boolean clientsGone = clientServer.connectionCount() == 0
                 || System.nanoTime() >= stopDeadlineNanos + TimeUnit.MILLISECONDS.toNanos(REJECTION_GRACE_MILLIS);
-        if (clientServer.hasStoppedListening() && (drained && clientServer.hasNoActiveClients()
-                || timedOut && !clientServer.hasPendingResponses() && clientsGone)) {
+        if (drained && clientServer.hasServedAllClients() || timedOut && clientServer.hasStoppedListening()
+                && !clientServer.hasPendingResponses() && clientsGone) {
             exitLatch.countDown();
         } else {
             loop.schedule(this::exitWhenDrained, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
