--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -83,7 +83,9 @@
     private int openMessageCount;
     private int attemptsInFlight;
     private boolean roundScheduled;
-    /** True while another process takes the decisions; events are then kept for a later round. */
+    /** False until this process listens for clients; before, an older process may take the decisions. */
+    private boolean decisionsStarted;
+    /** True while a newer process takes the decisions; events are then kept for a later round. */
     private boolean decisionsSuspended;
     /** True once this process is about to end and starts no more attempts. */
     private boolean newAttemptsStopped;
@@ -174,7 +176,7 @@
     private void writeRouteState(Path stateFolder) {
         // While another process takes the decisions, this one learns nothing more: its state would be written with the
         // current time although it is out of date.
-        if (!decisionsSuspended) {
+        if (decisionsStarted && !decisionsSuspended) {
             routeStateFileBytes =
                     RouteStateFile.write(stateFolder, policy.encodeLearnedState(), clock.micros(), diskBytes);
             journal.budget().reserveForOtherFiles(routeStateFileBytes + termsFileBytes);
@@ -327,6 +329,12 @@
         return CallIdHistory.Answer.ACCEPTED;
     }
 
+    /** Takes decisions from now on, starting with a round for the events that were kept. */
+    void startDecisions() {
+        decisionsStarted = true;
+        addEvent(new Policy.TimerFired(UNUSED_TIMER));
+    }
+
     /** Takes decisions again, starting with a round for the events that were kept. */
     void resumeDecisions() {
         decisionsSuspended = false;
@@ -555,7 +563,7 @@
         List<Message> accepted = acceptedThisRound;
         acceptedThisRound = new ArrayList<>();
         try {
-            if (!decisionsSuspended) {
+            if (decisionsStarted && !decisionsSuspended) {
                 List<Event> events = pendingEvents;
                 pendingEvents = new ArrayList<>();
                 policy.onRound(now, events, this);
--- a/src/main/java/drumdeal/relay/Handover.java
+++ b/src/main/java/drumdeal/relay/Handover.java
@@ -16,8 +16,6 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.UnixDomainSocketAddress;
-import java.nio.file.Path;
 
 /**
  * The protocol between two processes of one relay while the newer one takes over from the older one during an upgrade:
@@ -26,10 +24,9 @@
 final class Handover {
     /**
      * Version of the protocol. The older process closes the connection if the newer one has another version. The newer
-     * one then serves without a snapshot, and adopts the older one's messages once that process has ended.
+     * one then waits for the end of that process before it serves.
      */
     static final int VERSION = 1;
-    private static final String SOCKET_NAME = "handover.sock";
     private static final int MAX_FRAME_BYTES = 16 << 20;
     private static final int MAX_WRITE_BYTES = 64 << 10;
 
@@ -69,14 +66,6 @@
 
     private Handover() { }
 
-    static Path socketPath(Path processFolder) {
-        return processFolder.resolve(SOCKET_NAME);
-    }
-
-    static UnixDomainSocketAddress socketAddress(Path processFolder) {
-        return UnixDomainSocketAddress.of(socketPath(processFolder));
-    }
-
     /** Splits what is written: the JDK copies each piece as a whole to direct memory, which is scarce. */
     private static final class WriteSplitter extends ChannelOutboundHandlerAdapter {
         @Override
--- a/src/main/java/drumdeal/relay/PredecessorLink.java
+++ b/src/main/java/drumdeal/relay/PredecessorLink.java
@@ -20,10 +20,16 @@
 /**
  * The newer process's side of an upgrade: takes over from one older process, and adopts the messages that it leaves in
  * its process folder when it ends. Used on the event loop alone.
+ *
+ * <p>Only one of the two processes takes decisions. The older one, which holds the lock of its folder, does so until it
+ * has handed them over. So this process serves only once it has the older one's snapshot or that one's lock; while it
+ * can't reach the older process, it waits and tries again.
  */
 final class PredecessorLink {
-    /** How long to wait for the older process's snapshot; if that process hangs, this one serves without it. */
-    private static final long SNAPSHOT_TIMEOUT_MILLIS = 2000;
+    /** How long to wait for the older process's snapshot until the wait is logged. */
+    private static final long SNAPSHOT_WARNING_MILLIS = 2000;
+    /** Pause between the loss of the connection, or a failure to connect, and the next attempt to connect. */
+    private static final long RECONNECT_DELAY_MILLIS = 100;
     /** Pause until it is tried again to store messages for which the journal had no room. */
     private static final long STORE_RETRY_MILLIS = 50;
     /** How often to check whether the older process has ended. */
@@ -80,12 +86,20 @@
     private final Map<Long, Message> unreleasedMessages = new HashMap<>();
     /** Null until {@link #takeOver}, and after it if no connection could be attempted. */
     private Channel channel;
-    private boolean readyReported;
+    /** When the connection was last lost or could not be made, on {@link System#nanoTime}. */
+    private long disconnectedAtNanos;
+    private boolean connectFailureLogged;
+    private boolean adoptionFailureLogged;
+    /** The older process has sent its snapshot on the current connection, or has ended. */
+    private boolean ready;
+    private boolean ended;
+    /** This process listens for clients. */
+    private boolean listening;
 
     /**
-     * Prepares to take over from the process that owns {@code predecessorFolder}. {@code onReady} is called once, as
-     * soon as this process may listen for clients, with the snapshot of the older one, or with null if there is
-     * none. {@code onPredecessorEnded} runs once the older process has ended and its messages are adopted.
+     * Prepares to take over from the process that owns {@code predecessorFolder}. {@code onReady} is called whenever
+     * {@link #isReady} becomes true, with the snapshot of the older process, or with null if that has ended without
+     * one. {@code onPredecessorEnded} runs once the older process has ended and its messages are adopted.
      */
     PredecessorLink(EventLoop loop, Path predecessorFolder, TakeoverHandler handler,
             Consumer<HandoverSnapshot> onReady, Runnable onPredecessorEnded) {
@@ -96,41 +110,59 @@
         this.onPredecessorEnded = onPredecessorEnded;
     }
 
-    /** Connects to the older process and asks to take over. */
+    /** Connects to the older process and asks to take over, again and again until that has ended. */
     void takeOver() {
-        ChannelFuture connecting;
+        connect();
+        loop.schedule(() -> {
+            if (!ready) {
+                Log.write("handover: the older process has not handed over yet; it goes on, and this one waits for that"
+                        + " or for its end");
+            }
+        }, SNAPSHOT_WARNING_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** True while nothing of the older process keeps this one from listening for clients. */
+    boolean isReady() {
+        return ready;
+    }
+
+    private void connect() {
         try {
-            connecting = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
+            HandoverSocketAddress socket = HandoverSocketAddress.open(predecessorFolder);
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel connection) {
                             Handover.attachFrameHandler(connection, PredecessorLink.this::onFrame);
                         }
-                    }).connect(Handover.socketAddress(predecessorFolder));
-        } catch (IllegalArgumentException | UnsupportedOperationException e) {
-            Log.write("handover: can't connect to the older process, starting without its snapshot: " + e);
+                    }).connect(socket.address());
+            channel = connecting.channel();
+            connecting.addListener(connected -> {
+                socket.close();
+                if (connected.isSuccess()) {
+                    Handover.send(channel, Handover.FrameType.TAKEOVER_REQUEST,
+                            out -> out.writeInt(Handover.VERSION));
+                } else {
+                    logConnectFailure(connected.cause());
+                }
+            });
+            channel.closeFuture().addListener(closed -> onChannelClosed());
+        } catch (IOException | IllegalArgumentException | UnsupportedOperationException e) {
+            logConnectFailure(e);
             onChannelClosed();
-            return;
         }
-        channel = connecting.channel();
-        connecting.addListener(connected -> {
-            if (connected.isSuccess()) {
-                Handover.send(channel, Handover.FrameType.TAKEOVER_REQUEST, out -> out.writeInt(Handover.VERSION));
-            } else {
-                Log.write("handover: can't connect to the older process, starting without its snapshot: "
-                        + connected.cause());
-            }
-        });
-        channel.closeFuture().addListener(closed -> onChannelClosed());
-        loop.schedule(() -> {
-            if (!readyReported) {
-                channel.close();
-            }
-        }, SNAPSHOT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Notifies the older process, if connected, that this one listens for clients. */
+    private void logConnectFailure(Throwable cause) {
+        if (!connectFailureLogged) {
+            connectFailureLogged = true;
+            Log.write("handover: can't connect to the older process, trying again until it has ended: " + cause);
+        }
+    }
+
+    /** This process listens for clients: tells the older one, if it is connected. */
     void sendListening() {
+        listening = true;
         if (channel != null && channel.isActive()) {
             Handover.send(channel, Handover.FrameType.LISTENING, out -> { });
         }
@@ -142,6 +174,10 @@
                 HandoverSnapshot snapshot = HandoverSnapshot.read(in);
                 handler.applySnapshot(predecessorFolder, snapshot);
                 reportReady(snapshot);
+                if (listening) {
+                    // The older process has taken its decisions again, as it lost the connection.
+                    sendListening();
+                }
             }
             case MESSAGE -> {
                 long number = in.readLong();
@@ -204,22 +240,24 @@
     }
 
     private void reportReady(HandoverSnapshot snapshot) {
-        if (!readyReported) {
-            readyReported = true;
-            onReady.accept(snapshot);
-        }
+        ready = true;
+        onReady.accept(snapshot);
     }
 
     private void onChannelClosed() {
-        reportReady(null);
-        adoptOnceUnlocked();
+        ready = false;
+        disconnectedAtNanos = System.nanoTime();
+        // The older process still has them, and sends them again or leaves them in its folder.
+        unstoredMessages.values().forEach(handler::dropMessage);
+        unstoredMessages.clear();
+        adoptOrReconnect();
     }
 
     /**
      * Takes over all messages of the older process once it has ended and its lock is free. Before that it may still
      * send a message that it has not released, and two processes would deliver the same message.
      */
-    private void adoptOnceUnlocked() {
+    private void adoptOrReconnect() {
         try {
             StateFolder.LockedFolder folder = StateFolder.tryLock(predecessorFolder);
             if (folder != null) {
@@ -227,18 +265,32 @@
                 return;
             }
         } catch (IOException e) {
+            logAdoptionFailure(e);
+        }
+        if (!ended && System.nanoTime() - disconnectedAtNanos
+                >= TimeUnit.MILLISECONDS.toNanos(RECONNECT_DELAY_MILLIS)) {
+            connect();
+        } else {
+            loop.schedule(this::adoptOrReconnect, LOCK_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void logAdoptionFailure(IOException cause) {
+        if (!adoptionFailureLogged) {
+            adoptionFailureLogged = true;
             Log.write("handover: can't adopt the messages in folder " + predecessorFolder.getFileName()
-                    + ", trying again: " + e.getMessage());
+                    + ", trying again: " + cause.getMessage());
         }
-        loop.schedule(this::adoptOnceUnlocked, LOCK_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void adopt(StateFolder.LockedFolder folder) throws IOException {
+        boolean firstTry = !ended;
+        ended = true;
         unreleasedMessages.values().forEach(handler::takeOwnership);
         unreleasedMessages.clear();
-        // These are in the folder, unless the older process has ended them.
-        unstoredMessages.values().forEach(handler::dropMessage);
-        unstoredMessages.clear();
+        if (firstTry) {
+            reportReady(null);
+        }
         handler.adoptFolder(folder);
         onPredecessorEnded.run();
     }
--- a/src/main/java/drumdeal/relay/Relay.java
+++ b/src/main/java/drumdeal/relay/Relay.java
@@ -42,13 +42,12 @@
     private final List<PredecessorLink> predecessors = new ArrayList<>();
     /** Completed once the relay listens for clients, or can't. */
     private final Promise<Void> servingPromise;
-    /** Predecessors that have neither sent their state nor failed yet. */
-    private int pendingPredecessors;
     /** Released when the process may end. */
     private final CountDownLatch exitLatch = new CountDownLatch(1);
     /** Null while the relay is not draining. */
     private Future<?> drainTimer;
     private boolean listening;
+    private boolean listenRequested;
     /** When the process ends at the latest, on {@link System#nanoTime}; 0 until the end signal. */
     private long stopDeadlineNanos;
 
@@ -91,43 +90,52 @@
     }
 
     /**
-     * Adopts the folders of processes that have ended. Listens for clients at once if no other process is running,
-     * else as soon as each has sent its state or failed to answer.
+     * Adopts the folders of processes that have ended. Listens for clients, and takes decisions, at once if no other
+     * process is running, else as soon as each has sent its state or has ended.
      */
     private void takeOverFromPredecessors() {
         for (Path folder : stateFolder.otherFolders()) {
+            StateFolder.LockedFolder lockedFolder = null;
             try {
-                StateFolder.LockedFolder lockedFolder = StateFolder.tryLock(folder);
-                if (lockedFolder != null) {
-                    engine.adoptFolder(lockedFolder);
-                } else {
-                    predecessors.add(new PredecessorLink(loop, folder, engine, this::onPredecessorAnswered,
-                            this::onPredecessorGone));
-                }
+                lockedFolder = StateFolder.tryLock(folder);
             } catch (IOException e) {
-                Log.write("state folder " + folder.getFileName() + " can't be adopted, its messages stay there: "
+                Log.write("state folder " + folder.getFileName() + " can't be locked, its process counts as running: "
                         + e.getMessage());
             }
+            if (lockedFolder == null) {
+                predecessors.add(new PredecessorLink(loop, folder, engine, this::onPredecessorReady,
+                        this::onPredecessorGone));
+            } else {
+                adoptFolder(lockedFolder);
+            }
         }
-        pendingPredecessors = predecessors.size();
-        if (pendingPredecessors == 0) {
+        if (predecessors.isEmpty()) {
             listenForClients();
         }
         predecessors.forEach(PredecessorLink::takeOver);
     }
 
+    private void adoptFolder(StateFolder.LockedFolder folder) {
+        try {
+            engine.adoptFolder(folder);
+        } catch (IOException e) {
+            Log.write("state folder " + folder.folder().getFileName()
+                    + " can't be adopted, its messages stay there: " + e.getMessage());
+        }
+    }
+
     /**
-     * A predecessor has sent its state, or has not answered ({@code snapshot} is null). Until it has ended, the limit
-     * of descriptors holds for both processes together: half of what it uses is deducted from the limit for clients,
-     * half from the limit for hosts.
+     * A predecessor has sent its state, or has ended ({@code snapshot} is null). Until it has ended, the limit of
+     * descriptors holds for both processes together: half of what it uses is deducted from the limit for clients, half
+     * from the limit for hosts.
      */
-    private void onPredecessorAnswered(HandoverSnapshot snapshot) {
+    private void onPredecessorReady(HandoverSnapshot snapshot) {
         if (snapshot != null) {
             int descriptors = Config.descriptorsFor(snapshot.connections());
             clientServer.reserveDescriptors(descriptors / 2);
             engine.reserveDescriptors(descriptors - descriptors / 2);
         }
-        if (--pendingPredecessors == 0) {
+        if (predecessors.stream().allMatch(PredecessorLink::isReady)) {
             listenForClients();
         }
     }
@@ -138,14 +146,16 @@
     }
 
     private void listenForClients() {
-        if (stopDeadlineNanos != 0) {
+        if (stopDeadlineNanos != 0 || listenRequested) {
             return;
         }
+        listenRequested = true;
         ChannelFuture bindFuture = clientServer.listen(loop, config.listenAddress());
         bindFuture.addListener(future -> {
             if (future.isSuccess()) {
                 Log.write("serving on " + bindFuture.channel().localAddress());
                 listening = true;
+                engine.startDecisions();
                 predecessors.forEach(PredecessorLink::sendListening);
                 servingPromise.setSuccess(null);
             } else {
--- a/src/main/java/drumdeal/relay/SuccessorLink.java
+++ b/src/main/java/drumdeal/relay/SuccessorLink.java
@@ -3,13 +3,16 @@
 import drumdeal.Policy;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.LinkOption;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -32,6 +35,9 @@
      */
     private static final int MAX_UNACKNOWLEDGED_MESSAGES = 16;
 
+    /** How often to check that the socket is still there. */
+    private static final long SOCKET_CHECK_INTERVAL_MILLIS = 1000;
+
     /** What the relay does during a handover. */
     interface HandoverHandler {
         /** Suspends the relay's decisions and returns its state for the successor. */
@@ -56,8 +62,15 @@
     private final Map<Long, Message> queuedMessages = new LinkedHashMap<>();
     /** Messages sent and not acknowledged yet, by their number in this process. */
     private final Map<Long, Message> unacknowledgedMessages = new HashMap<>();
-    /** Null until a newer process asks to take over, and again after it disconnects early. */
+    /** Null until the socket is bound for the first time. */
+    private Channel serverChannel;
+    /** Identifies the file of the socket; null if that is not bound. */
+    private Object socketFileKey;
+    private boolean bindFailureLogged;
+    /** Null until a newer process asks to take over, and again after it disconnects. */
     private Channel successorChannel;
+    /** Messages may be sent to the successor. */
+    private boolean successorListening;
     /** The successor listens for clients; the handover can't be undone any more. */
     private boolean committed;
 
@@ -66,25 +79,65 @@
         this.handler = handler;
     }
 
-    /** Listens on the socket in this process's own folder. If that fails, an upgrade only takes longer. */
+    /**
+     * Listens on the socket in this process's own folder, and again if the socket is removed or replaced. While that
+     * fails, a newer process does not serve: it waits until it reaches this one, or this one has ended.
+     */
     void listen(Path ownFolder) {
+        if (!isSocketInPlace(ownFolder)) {
+            bind(ownFolder);
+        }
+        loop.schedule(() -> listen(ownFolder), SOCKET_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isSocketInPlace(Path ownFolder) {
+        return serverChannel != null && serverChannel.isActive() && socketFileKey != null
+                && socketFileKey.equals(readFileKey(HandoverSocketAddress.pathIn(ownFolder)));
+    }
+
+    /** Identifies a file; null if there is none. */
+    private static Object readFileKey(Path file) {
+        try {
+            return Files.readAttributes(file, BasicFileAttributes.class, LinkOption.NOFOLLOW_LINKS).fileKey();
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private void bind(Path ownFolder) {
+        if (serverChannel != null) {
+            serverChannel.close();
+        }
         try {
             // A process that was killed leaves its socket file behind, and binding to it would fail.
-            Files.deleteIfExists(Handover.socketPath(ownFolder));
-            new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+            Files.deleteIfExists(HandoverSocketAddress.pathIn(ownFolder));
+            HandoverSocketAddress socket = HandoverSocketAddress.open(ownFolder);
+            ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
                     .handler(new AcceptErrorHandler()).childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel connection) {
                             Handover.attachFrameHandler(connection, (type, in) -> onFrame(connection, type, in));
                             closeUnlessSuccessor(connection);
                         }
-                    }).bind(Handover.socketAddress(ownFolder)).addListener(bound -> {
-                        if (!bound.isSuccess()) {
-                            Log.write("handover: can't listen, an upgrade will take longer: " + bound.cause());
-                        }
-                    });
+                    }).bind(socket.address());
+            serverChannel = binding.channel();
+            binding.addListener(bound -> {
+                socket.close();
+                socketFileKey = readFileKey(HandoverSocketAddress.pathIn(ownFolder));
+                if (!bound.isSuccess()) {
+                    logBindFailure(bound.cause());
+                }
+            });
         } catch (IOException | IllegalArgumentException | UnsupportedOperationException e) {
-            Log.write("handover: can't listen, an upgrade will take longer: " + e);
+            logBindFailure(e);
+        }
+    }
+
+    private void logBindFailure(Throwable cause) {
+        if (!bindFailureLogged) {
+            bindFailureLogged = true;
+            Log.write("handover: can't listen, trying again; until then a newer process waits and does not serve: "
+                    + cause);
         }
     }
 
@@ -101,9 +154,8 @@
         if (type == Handover.FrameType.TAKEOVER_REQUEST && successorChannel == null
                 && in.readInt() == Handover.VERSION) {
             onTakeoverRequest(channel);
-        } else if (type == Handover.FrameType.LISTENING && channel == successorChannel && !committed) {
-            committed = true;
-            handler.handOver();
+        } else if (type == Handover.FrameType.LISTENING && channel == successorChannel && !successorListening) {
+            onSuccessorListening();
         } else if (type == Handover.FrameType.MESSAGE_STORED && channel == successorChannel) {
             onMessageStored(in.readLong());
         } else {
@@ -123,9 +175,27 @@
         }, LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void onSuccessorListening() {
+        successorListening = true;
+        if (committed) {
+            sendQueuedMessages();
+        } else {
+            committed = true;
+            handler.handOver();
+        }
+    }
+
+    /**
+     * Before the successor has listened, this process resumes its decisions. After that it takes none any more, even if
+     * the successor has ended: another one may ask to take over.
+     */
     private void onSuccessorClosed() {
-        if (!committed) {
-            successorChannel = null;
+        successorChannel = null;
+        successorListening = false;
+        if (committed) {
+            queuedMessages.putAll(unacknowledgedMessages);
+            unacknowledgedMessages.clear();
+        } else {
             handler.resumeDecisions();
         }
     }
@@ -148,7 +218,7 @@
 
     private void sendQueuedMessages() {
         Iterator<Message> queued = queuedMessages.values().iterator();
-        while (successorChannel.isActive() && queued.hasNext()
+        while (successorListening && successorChannel.isActive() && queued.hasNext()
                 && unacknowledgedMessages.size() < MAX_UNACKNOWLEDGED_MESSAGES) {
             Message message = queued.next();
             queued.remove();
@@ -176,9 +246,12 @@
     /**
      * Reports the result of a call that was in flight when the successor took over. {@code waitMicros} is the wait that
      * the host asked for, 0 if none, {@code elapsedMicros} the time that the call took, and {@code callsInFlight}
-     * the number of calls still in flight here.
+     * the number of calls still in flight here. Without a successor nothing is reported.
      */
     void sendOutcome(String route, Policy.Result result, long waitMicros, long elapsedMicros, int callsInFlight) {
+        if (successorChannel == null) {
+            return;
+        }
         Handover.send(successorChannel, Handover.FrameType.OUTCOME, out -> {
             out.writeUTF(route);
             out.writeUTF(result.name());
--- a/src/test/java/drumdeal/relay/RelayProcess.java
+++ b/src/test/java/drumdeal/relay/RelayProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
+import java.net.UnixDomainSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -136,6 +137,11 @@
         return folder.resolve("state");
     }
 
+    /** The address of the handover's socket in a process folder, whose path must be short. */
+    static UnixDomainSocketAddress handoverAddress(Path processFolder) {
+        return UnixDomainSocketAddress.of(HandoverSocketAddress.pathIn(processFolder));
+    }
+
     private Path configurationFile() {
         return folder.resolve("config.json");
     }
