--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -45,8 +45,14 @@
     /** Most bytes of one write: the JDK copies them to direct memory, which is scarce. */
     private static final int MAX_WRITE_BYTES = 64 << 10;
 
-    /** Largest attempt number that replay accepts; a record with a larger one counts as damaged. */
+    /** Largest attempt number that replay accepts; a record with a larger one can't be used. */
     private static final int MAX_ATTEMPTS = 10_000;
+    /** The route of an attempt whose record can't be used. */
+    private static final String UNKNOWN_ROUTE = "";
+    /** Type (byte) and message number (long). */
+    private static final int MIN_PAYLOAD_BYTES = Byte.BYTES + Long.BYTES;
+    /** Of as many records that can't be used each is logged. */
+    private static final int MAX_LOGGED_RECORDS = 5;
 
     // Record types, stored as numbers: they must not change.
     /** A message as accepted, written by former versions without its terms. */
@@ -99,7 +105,7 @@
 
     /**
      * Opens the journal of a folder and replays it. The segment is truncated at the first record that is incomplete
-     * or can't be read.
+     * or corrupt.
      */
     Journal(Path folder, long diskLimitBytes) throws IOException {
         this.folder = folder;
@@ -502,27 +508,55 @@
         return record;
     }
 
-    /** Replays the segment and truncates it at the first record that is incomplete, corrupt or can't be read. */
+    /**
+     * Replays the segment and truncates it at the first record that is incomplete or corrupt. A complete record that
+     * can't be used, such as one of another version, is reported, and those after it are kept.
+     */
     private void replaySegment() throws IOException {
         long fileBytes = segmentChannel.size();
         RecordReader reader = new RecordReader(Channels.newInputStream(segmentChannel), fileBytes);
-        String damagedRecord = "an incomplete or corrupt record";
+        int unusableRecords = 0;
         for (byte[] payload = reader.next(); payload != null; payload = reader.next()) {
             try {
                 replayRecord(payload);
             } catch (IOException e) {
-                damagedRecord = "a record that can't be read (" + e.getMessage() + ")";
-                break;
+                unusableRecords++;
+                if (unusableRecords <= MAX_LOGGED_RECORDS) {
+                    Log.write("journal: the record at byte " + segmentBytes
+                            + " can't be used, those after it are kept: " + e.getMessage());
+                }
+                assumeWorst(payload);
             }
             segmentBytes = reader.position();
         }
+        if (unusableRecords > MAX_LOGGED_RECORDS) {
+            Log.write("journal: " + unusableRecords + " records can't be used");
+        }
         if (segmentBytes < fileBytes) {
-            Log.write("journal: truncating at " + damagedRecord + ", dropping " + (fileBytes - segmentBytes)
+            Log.write("journal: truncating at an incomplete or corrupt record, dropping " + (fileBytes - segmentBytes)
                     + " bytes");
             segmentChannel.truncate(segmentBytes);
         }
     }
 
+    /** Of a record that can't be used, only its type counts: a message may have been sent, or has ended undelivered. */
+    private void assumeWorst(byte[] payload) {
+        if (payload.length < MIN_PAYLOAD_BYTES) {
+            return;
+        }
+        ByteBuffer record = ByteBuffer.wrap(payload);
+        int type = record.get();
+        UnfinishedMessage entry = unfinishedMessages.get(record.getLong());
+        if (entry == null) {
+            return;
+        }
+        if (type == ATTEMPT) {
+            entry.message.addAttempt(UNKNOWN_ROUTE, 0).markRecorded();
+        } else if (type == END_DECIDED) {
+            entry.message.nonDelivery = new Message.NonDelivery(false, 0);
+        }
+    }
+
     /**
      * Applies one record. An accepted message is added to the unfinished ones; any other record is ignored if its
      * message is not among them.
@@ -531,6 +565,7 @@
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
             int type = in.readByte();
             long number = in.readLong();
+            lastMessageNumber = Math.max(lastMessageNumber, number);
             if (type == ACCEPTED_WITHOUT_TERMS || type == ACCEPTED_WITH_TERMS) {
                 Message.Content content = readContent(in);
                 Policy.RequestTerms terms = type == ACCEPTED_WITHOUT_TERMS ? null
@@ -538,7 +573,6 @@
                 addUnfinishedMessage(new Message(number, content, terms), payload.length + RecordReader.HEADER_BYTES);
                 return;
             }
-            lastMessageNumber = Math.max(lastMessageNumber, number);
             UnfinishedMessage entry = unfinishedMessages.get(number);
             if (entry == null) {
                 return;
@@ -560,9 +594,13 @@
 
     /**
      * Adds an attempt. An earlier attempt that could not be recorded was not sent, but its number is not used again.
-     * An attempt that ended as {@code NOT_SENT} is added for each missing number.
+     * An attempt that ended as {@code NOT_SENT} is added for each missing number. Former versions recorded some twice.
      */
     private static void replayAttempt(Message message, int number, String route, long sentAt) throws IOException {
+        if (number >= 0 && number < message.attempts.size() && message.attempts.get(number).route.equals(route)
+                && message.attempts.get(number).sentAt == sentAt) {
+            return;
+        }
         if (number < message.attempts.size() || number > MAX_ATTEMPTS) {
             throw new IOException("attempt " + number + " is out of order");
         }
@@ -576,7 +614,7 @@
 
     /**
      * Sets the result of an attempt. An attempt that could not be recorded for lack of room may still have a result
-     * record; that is ignored, as treating it as damage would end the replay.
+     * record; that is ignored.
      */
     private static void replayResult(Message message, int number, Policy.Result result) {
         if (number < message.attempts.size()) {
@@ -591,7 +629,11 @@
         String idempotencyKey = readOptional(in);
         long deadline = in.readLong();
         int destination = in.readInt();
-        byte[] body = new byte[in.readInt()];
+        int bodyBytes = in.readInt();
+        if (bodyBytes < 0 || bodyBytes > in.available()) {
+            throw new IOException("a body of " + bodyBytes + " bytes");
+        }
+        byte[] body = new byte[bodyBytes];
         in.readFully(body);
         return new Message.Content(callId, requestClass, tenant, idempotencyKey, deadline, destination, body);
     }
--- a/src/test/java/drumdeal/relay/JournalTest.java
+++ b/src/test/java/drumdeal/relay/JournalTest.java
@@ -16,6 +16,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Replay of a journal, also a damaged one, and its limits on the disk. */
@@ -123,6 +124,116 @@
         assertTrue(readAfterReopening().isEmpty());
     }
 
+    /** Appends a complete record with a payload of any kind, as a journal of another version may hold. */
+    private void appendRecord(Handover.PayloadWriter payloadWriter) throws IOException {
+        byte[] payload = Handover.toBytes(payloadWriter);
+        Files.write(segmentFile(), Handover.toBytes(out -> {
+            out.writeInt(payload.length);
+            out.writeInt(RecordReader.checksum(payload, 0));
+            out.write(payload);
+        }), StandardOpenOption.APPEND);
+    }
+
+    private void appendAttempt(int number, String route) throws IOException {
+        appendRecord(out -> {
+            out.writeByte(2);
+            out.writeLong(1);
+            out.writeInt(number);
+            out.writeUTF(route);
+            out.writeLong(50);
+        });
+    }
+
+    /** The messages of a journal that holds one message, then a record, then another message. */
+    private List<Message> readWithRecordInBetween(Executable appendRecord) throws Throwable {
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            journal.recordAccepted(createMessage(1, 10));
+        }
+        appendAttempt(0, "r0");
+        appendRecord.execute();
+        Files.write(segmentFile(), Journal.pack(createMessage(2, 10)), StandardOpenOption.APPEND);
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            assertTrue(journal.recordAccepted(createMessage(3, 10)));
+        }
+        List<Message> open = readAfterReopening();
+        assertEquals(List.of(1L, 2L, 3L), open.stream().map(m -> m.number).toList());
+        return open;
+    }
+
+    /** Guards against the loss of all that follows a record which the replay refuses. */
+    @Test
+    void recordsBehindOneOfAnUnknownTypeAreKept() throws Throwable {
+        Message message = readWithRecordInBetween(() -> appendRecord(out -> {
+            out.writeByte(99);
+            out.writeLong(1);
+        })).get(0);
+        assertEquals(List.of("r0"), message.attempts.stream().map(attempt -> attempt.route).toList());
+    }
+
+    @Test
+    void recordsBehindAPayloadOfOneByteAreKept() throws Throwable {
+        readWithRecordInBetween(() -> appendRecord(out -> out.writeByte(2)));
+    }
+
+    @Test
+    void recordsBehindAMessageThatCannotBeReadAreKept() throws Throwable {
+        readWithRecordInBetween(() -> appendRecord(out -> {
+            out.writeByte(6);
+            out.writeLong(9);
+            out.writeUTF("id9");
+            out.writeUTF("safe");
+            out.writeBoolean(false);
+            out.writeBoolean(false);
+            out.writeLong(123);
+            out.writeInt(7);
+            out.writeInt(Integer.MAX_VALUE);
+        }));
+    }
+
+    /** Former versions recorded an attempt twice if its record needed a compaction. */
+    @Test
+    void attemptRecordedTwiceCountsOnce() throws Throwable {
+        Message message = readWithRecordInBetween(() -> appendAttempt(0, "r0")).get(0);
+        assertEquals(List.of("r0"), message.attempts.stream().map(attempt -> attempt.route).toList());
+    }
+
+    /** A message may have been sent by an attempt of which no more is known. */
+    @Test
+    void attemptThatCannotBeUsedCountsAsOneThatMayHaveRun() throws Throwable {
+        Message message = readWithRecordInBetween(() -> {
+            appendAttempt(0, "r0");
+            appendRecord(out -> {
+                out.writeByte(3);
+                out.writeLong(1);
+                out.writeInt(0);
+                out.writeUTF(Result.FULL.name());
+            });
+            appendAttempt(0, "another");
+        }).get(0);
+        assertEquals(Result.FULL, message.attempts.get(0).result);
+        assertTrue(message.mayHaveTakenEffect());
+    }
+
+    @Test
+    void resultThatCannotBeUsedLeavesItsAttemptOpen() throws Throwable {
+        Message message = readWithRecordInBetween(() -> appendRecord(out -> {
+            out.writeByte(3);
+            out.writeLong(1);
+            out.writeInt(0);
+            out.writeUTF("A_RESULT_OF_A_LATER_VERSION");
+        })).get(0);
+        assertNull(message.attempts.get(0).result);
+    }
+
+    @Test
+    void endThatCannotBeUsedCountsAsFailed() throws Throwable {
+        Message message = readWithRecordInBetween(() -> appendRecord(out -> {
+            out.writeByte(4);
+            out.writeLong(1);
+        })).get(0);
+        assertEquals(new Message.NonDelivery(false, 0), message.nonDelivery);
+    }
+
     @Test
     void folderStaysBelowItsLimitWithTheLargestBodies() throws IOException {
         ArrayDeque<Message> unfinished = new ArrayDeque<>();
