Remember the ids of messages that are over across a restart

Change: the record of a message's end says what its client is answered and until when; compactions carry the latest ids within a twentieth of the disk; the adoption of a folder records its ids. Former versions ignore what is new.

Result: three new tests of RepeatedCallIdTest failed before.

--- a/src/main/java/drumdeal/relay/CallIdHistory.java
+++ b/src/main/java/drumdeal/relay/CallIdHistory.java
@@ -21,17 +21,25 @@
     /** Memory that an id takes beside its characters. */
     private static final int ENTRY_BYTES = 112;
 
-    /** What a client is answered. Sent by position in the handover: constants must not be reordered or removed. */
+    /** What a client is answered. Stored and sent by position: constants must not be reordered or removed. */
     enum Answer {
         /** The message was accepted, and has been delivered or will come to its end. */
         ACCEPTED,
         /** The message has ended without delivery, and may have taken effect. */
-        FAILED
+        FAILED;
+
+        /** The answer at a position; fails if there is none. */
+        static Answer of(int position) throws IOException {
+            if (position < 0 || position >= values().length) {
+                throw new IOException("unknown answer " + position);
+            }
+            return values()[position];
+        }
     }
 
     /** An id, what its message's client is answered, and until when. */
     record Entry(String callId, Answer answer, long expiresAt) {
-        /** Writes the entry; the order of the fields is part of the handover protocol. */
+        /** Writes the entry; the order of the fields is part of the handover protocol and of the journal. */
         void write(DataOutputStream out) throws IOException {
             out.writeUTF(callId);
             out.writeByte(answer.ordinal());
@@ -39,12 +47,7 @@
         }
 
         static Entry read(DataInputStream in) throws IOException {
-            String callId = in.readUTF();
-            int answer = in.readByte();
-            if (answer < 0 || answer >= Answer.values().length) {
-                throw new IOException("unknown answer " + answer);
-            }
-            return new Entry(callId, Answer.values()[answer], in.readLong());
+            return new Entry(in.readUTF(), Answer.of(in.readByte()), in.readLong());
         }
 
         private int bytes() {
--- a/src/main/java/drumdeal/relay/DiskBudget.java
+++ b/src/main/java/drumdeal/relay/DiskBudget.java
@@ -56,6 +56,8 @@
             new Limits(0.45, 0.85, MAX_COMPACTION_SHARE, MAX_COMPACTION_SHARE, MAX_COMPACTION_SHARE);
     /** Unfinished messages may take this share; beyond it no further message is accepted. */
     private static final double MAX_UNFINISHED_SHARE = 0.3;
+    /** The call ids of messages that are over may take this share; beyond it the oldest are forgotten at a restart. */
+    private static final double MAX_CALL_IDS_SHARE = 0.05;
     /** The segment is compacted when records of finished messages take more than this share. */
     private static final double COMPACTION_THRESHOLD_SHARE = 0.1;
 
@@ -116,10 +118,25 @@
 
     /** True if the segment may grow to {@code segmentBytes} for a record. */
     boolean allowsSegment(long segmentBytes, Purpose purpose) {
+        return segmentBytes <= segmentLimit(purpose);
+    }
+
+    private double segmentLimit(Purpose purpose) {
         double limit = limits().shareFor(purpose) * budgetBytes();
         // Also what fits beside another process must not exceed the limit that holds after its end.
         double limitAlone = SOLE_LIMITS.shareFor(purpose) * (diskBytes - otherFilesBytes);
-        return segmentBytes <= Math.min(limit, limitAlone);
+        return Math.min(limit, limitAlone);
+    }
+
+    /**
+     * How many bytes the call ids of messages that are over may take in a new segment, beside the old one, so that
+     * {@code requiredBytes} of other records fit into it for a purpose.
+     */
+    long bytesForCallIds(long segmentBytes, long requiredBytes, Purpose purpose) {
+        double share = MAX_CALL_IDS_SHARE * budgetBytes();
+        double roomInSegment = segmentLimit(purpose) - requiredBytes;
+        double roomBesideSegment = MAX_COMPACTION_SHARE * budgetBytes() - segmentBytes - requiredBytes;
+        return (long) Math.max(0, Math.min(share, Math.min(roomInSegment, roomBesideSegment)));
     }
 
     /** True if records of unfinished messages may take {@code bytes} once a further message is accepted. */
--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -58,8 +58,8 @@
     /** Messages that are not settled, by their number in this process's journal, oldest first. */
     private final Map<Long, Message> messagesByNumber = new LinkedHashMap<>();
     private final Map<String, Message> messagesByCallId = new HashMap<>();
-    /** Messages that were settled here. */
-    private final CallIdHistory settledCallIds = new CallIdHistory();
+    /** Messages that were settled here, or by an earlier process. */
+    private final CallIdHistory settledCallIds;
     /** Messages of the older process in an upgrade, as of its snapshot, that have not been handed over. */
     private final CallIdHistory predecessorCallIds = new CallIdHistory();
     /** Attempts that the current round starts; they are sent at its end, those of one route together. */
@@ -108,6 +108,7 @@
         settings = config.settings();
         roundDelayMicros = config.roundDelayMicros();
         this.journal = journal;
+        settledCallIds = journal.settledCallIds();
         policy = policyFactory.apply(config.settings());
         hostClient = new HostClient(loop, clock, config, this);
         noticeSender = new NoticeSender(loop, new AgentClient(loop, config.discoveryAddress()),
@@ -367,6 +368,7 @@
     /** Another process owns a message now. */
     void onHandedOver(Message message) {
         if (message.nonDelivery == null && !message.finished) {
+            message.handedOver = true;
             finishMessage(message);
         }
     }
@@ -676,10 +678,14 @@
         message.overdueTimer.cancel(false);
         message.finished = true;
         openMessageCount--;
-        journal.recordDone(message);
+        recordDone(message);
         removeIfSettled(message);
     }
 
+    private void recordDone(Message message) {
+        journal.recordDone(message, message.handedOver ? null : answerAfterSettlement(message));
+    }
+
     /** Forgets a message once it is finished and its last attempt has ended. */
     private void removeIfSettled(Message message) {
         if (message.finished && !message.hasAttemptsInFlight() && messagesByNumber.containsKey(message.number)) {
@@ -729,7 +735,7 @@
     /** The platform has received the notice of a message's end. */
     private void onNoticeAcknowledged(Message message) {
         message.finished = true;
-        journal.recordDone(message);
+        recordDone(message);
         removeIfSettled(message);
     }
 
--- a/src/main/java/drumdeal/relay/FolderAdoption.java
+++ b/src/main/java/drumdeal/relay/FolderAdoption.java
@@ -49,21 +49,22 @@
      * throws.
      */
     void start(long diskBytes) throws IOException {
-        List<Message> unfinished;
+        Journal.Contents contents;
         try {
-            unfinished = Journal.readUnfinishedMessages(lockedFolder.folder(), diskBytes);
+            contents = Journal.read(lockedFolder.folder(), diskBytes);
             journal.budget().shareWithEnded(lockedFolder.folder(), Journal.sizeOnDisk(lockedFolder.folder()));
         } catch (IOException e) {
             lockedFolder.close();
             throw e;
         }
-        for (Message message : unfinished) {
+        for (Message message : contents.unfinishedMessages()) {
             // The other process may have handed a message over and ended before it could record that.
             Message registered = owner.registerIfUnknown(message);
             if (registered != null) {
                 messages.add(registered);
             }
         }
+        journal.recordAdoptedCallIds(contents.settledCallIds());
         adoptOrWait();
     }
 
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -14,6 +14,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +69,8 @@
     private static final int DONE = 5;
     /** A message as accepted, with its terms. */
     private static final int ACCEPTED_WITH_TERMS = 6;
+    /** The call id of a message that is over. Its message number is 0, so that former versions ignore it. */
+    private static final int CALL_ID = 7;
 
     /** Writes the payload of one record. */
     private interface PayloadWriter {
@@ -88,6 +92,9 @@
     private final DiskBudget budget;
     /** By message number, in the order in which they were added. */
     private final Map<Long, UnfinishedMessage> unfinishedMessages = new LinkedHashMap<>();
+    /** The call ids of messages that are over. */
+    private final CallIdHistory settledCallIds = new CallIdHistory();
+    private final Clock clock = new Clock();
     private FileChannel segmentChannel;
     private Path segmentPath;
     private long segmentNumber;
@@ -95,6 +102,8 @@
     private long segmentBytes;
     /** The part of {@link #segmentBytes} that holds records of unfinished messages. */
     private long unfinishedBytes;
+    /** The part of {@link #segmentBytes} that holds call ids of messages that are over. */
+    private long callIdBytes;
     private long lastMessageNumber;
     /** The segment may end with a partial record that could not be removed; nothing is appended any more. */
     private boolean broken;
@@ -155,10 +164,13 @@
         return replayed.unfinishedMessages().get(0);
     }
 
-    /** Returns the unfinished messages in the folder of a process that has ended. */
-    static List<Message> readUnfinishedMessages(Path folder, long diskLimitBytes) throws IOException {
+    /** What the journal of a process that has ended holds. */
+    record Contents(List<Message> unfinishedMessages, List<CallIdHistory.Entry> settledCallIds) { }
+
+    /** Reads the journal in the folder of a process that has ended. */
+    static Contents read(Path folder, long diskLimitBytes) throws IOException {
         try (Journal journal = new Journal(folder, diskLimitBytes)) {
-            return journal.unfinishedMessages();
+            return new Contents(journal.unfinishedMessages(), journal.settledCallIds.entries());
         }
     }
 
@@ -246,6 +258,22 @@
         return unfinishedMessages.values().stream().map(entry -> entry.message).toList();
     }
 
+    /** The call ids of messages that are over, as far as they are remembered, for the owner of this journal as well. */
+    CallIdHistory settledCallIds() {
+        return settledCallIds;
+    }
+
+    /** Remembers call ids of another process, and records them as long as there is room. */
+    void recordAdoptedCallIds(List<CallIdHistory.Entry> entries) {
+        boolean hasRoom = true;
+        for (CallIdHistory.Entry entry : entries) {
+            settledCallIds.add(entry, clock.micros());
+            byte[] record = encodeCallId(entry);
+            hasRoom = hasRoom && append(record, DiskBudget.Purpose.ACCEPTED);
+            callIdBytes += hasRoom ? record.length : 0;
+        }
+    }
+
     /** Records an accepted message. Returns false if there is no room or the disk fails. */
     boolean recordAccepted(Message message) {
         byte[] record = encodeRecord(acceptedPayload(message));
@@ -274,7 +302,7 @@
                 && budget.allowsSegment(unfinishedBytes + recordBytes, purpose);
         if (helps && System.nanoTime() - nextCompactionForRoomAtNanos >= 0) {
             nextCompactionForRoomAtNanos = System.nanoTime() + ROOM_COMPACTION_INTERVAL_NANOS;
-            compactIfAllowed();
+            compactIfAllowed(budget.bytesForCallIds(segmentBytes, unfinishedBytes + recordBytes, purpose));
         }
     }
 
@@ -300,25 +328,38 @@
         appendForMessage(message, encodeRecord(endPayload(message)), DiskBudget.Purpose.OUTCOME);
     }
 
-    /** Records that nothing remains to be done for a message, and compacts the segment if that is due. */
-    void recordDone(Message message) {
+    /**
+     * Records that nothing remains to be done for a message, and compacts the segment if that is due. {@code answer} is
+     * what a client is answered that submits the message again; null if the message may be accepted anew, or another
+     * process has it.
+     */
+    void recordDone(Message message, CallIdHistory.Answer answer) {
         byte[] record = encodeRecord(out -> {
             out.writeByte(DONE);
             out.writeLong(message.number);
+            if (answer != null) {
+                out.writeByte(answer.ordinal());
+                out.writeLong(message.clientDeadline);
+            }
         });
         boolean recorded = appendForMessage(message, record, DiskBudget.Purpose.OUTCOME);
         boolean known = unfinishedMessages.containsKey(message.number);
         removeUnfinishedMessage(message.number);
+        if (answer != null) {
+            settledCallIds.add(new CallIdHistory.Entry(message.content.callId(), answer, message.clientDeadline),
+                    clock.micros());
+        }
         // If the DONE record could not be written, as on a full disk, the finished message would be resumed after a
         // restart. Compaction leaves the message out.
-        if (known && !recorded || budget.isCompactionDue(segmentBytes - unfinishedBytes)) {
-            compactIfAllowed();
+        if (known && !recorded || budget.isCompactionDue(segmentBytes - unfinishedBytes - callIdBytes)) {
+            compactIfAllowed(
+                    budget.bytesForCallIds(segmentBytes, unfinishedBytes, DiskBudget.Purpose.ACCEPTED));
         }
     }
 
-    private void compactIfAllowed() {
+    private void compactIfAllowed(long maxCallIdBytes) {
         if (budget.allowsCompaction(segmentBytes, unfinishedBytes) && System.nanoTime() - nextCompactionAtNanos >= 0) {
-            compact();
+            compact(maxCallIdBytes);
         }
     }
 
@@ -388,14 +429,18 @@
         }
     }
 
-    /** Writes the unfinished messages to a new segment and replaces the current one with it. */
-    private void compact() {
+    /**
+     * Writes the unfinished messages, and the latest call ids of those that are over, to a new segment and replaces the
+     * current one with it.
+     */
+    private void compact(long maxCallIdBytes) {
         Path temporaryPath = folder.resolve(TEMPORARY_SEGMENT_NAME);
         Path nextPath = folder.resolve(SEGMENT_NAME_FORMAT.formatted(segmentNumber + 1));
         try {
             FileChannel nextChannel = FileChannel.open(temporaryPath, StandardOpenOption.CREATE,
                     StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
             long writtenBytes = 0;
+            long nextUnfinishedBytes;
             Map<Long, Long> sizesByNumber = new LinkedHashMap<>();
             try {
                 for (UnfinishedMessage entry : unfinishedMessages.values()) {
@@ -404,6 +449,11 @@
                     writtenBytes += records.length;
                     sizesByNumber.put(entry.message.number, (long) records.length);
                 }
+                nextUnfinishedBytes = writtenBytes;
+                for (byte[] record : encodeLatestCallIds(maxCallIdBytes)) {
+                    writeFully(nextChannel, record, writtenBytes);
+                    writtenBytes += record.length;
+                }
                 Files.move(temporaryPath, nextPath, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
                 nextChannel.close();
@@ -416,7 +466,8 @@
             segmentPath = nextPath;
             segmentNumber++;
             segmentBytes = writtenBytes;
-            unfinishedBytes = writtenBytes;
+            unfinishedBytes = nextUnfinishedBytes;
+            callIdBytes = writtenBytes - nextUnfinishedBytes;
             sizesByNumber.forEach((number, bytes) -> unfinishedMessages.get(number).sizeBytes = bytes);
             Files.deleteIfExists(oldPath);
         } catch (IOException e) {
@@ -446,6 +497,30 @@
         return records.toByteArray();
     }
 
+    /** The records of the call ids added last, in the order in which they were added, up to a number of bytes. */
+    private Deque<byte[]> encodeLatestCallIds(long maxBytes) {
+        List<CallIdHistory.Entry> entries = settledCallIds.entries();
+        Deque<byte[]> records = new ArrayDeque<>();
+        long bytes = 0;
+        for (int i = entries.size() - 1; i >= 0; i--) {
+            byte[] record = encodeCallId(entries.get(i));
+            bytes += record.length;
+            if (bytes > maxBytes) {
+                break;
+            }
+            records.addFirst(record);
+        }
+        return records;
+    }
+
+    private static byte[] encodeCallId(CallIdHistory.Entry entry) {
+        return encodeRecord(out -> {
+            out.writeByte(CALL_ID);
+            out.writeLong(0);
+            entry.write(out);
+        });
+    }
+
     private static PayloadWriter acceptedPayload(Message message) {
         Message.Content content = message.content;
         return out -> {
@@ -573,6 +648,11 @@
                 addUnfinishedMessage(new Message(number, content, terms), payload.length + RecordReader.HEADER_BYTES);
                 return;
             }
+            if (type == CALL_ID) {
+                settledCallIds.add(CallIdHistory.Entry.read(in), clock.micros());
+                callIdBytes += payload.length + RecordReader.HEADER_BYTES;
+                return;
+            }
             UnfinishedMessage entry = unfinishedMessages.get(number);
             if (entry == null) {
                 return;
@@ -584,7 +664,10 @@
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
                 case RESULT -> replayResult(message, in.readInt(), Policy.Result.valueOf(in.readUTF()));
                 case END_DECIDED -> message.nonDelivery = new Message.NonDelivery(in.readBoolean(), in.readLong());
-                case DONE -> removeUnfinishedMessage(number);
+                case DONE -> {
+                    removeUnfinishedMessage(number);
+                    replaySettled(message, in);
+                }
                 default -> throw new IOException("unknown record type " + type);
             }
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
@@ -592,6 +675,15 @@
         }
     }
 
+    /** Remembers the call id of a message that is over; former versions did not record what to answer. */
+    private void replaySettled(Message message, DataInputStream in) throws IOException {
+        if (in.available() > 0) {
+            CallIdHistory.Answer answer = CallIdHistory.Answer.of(in.readByte());
+            settledCallIds.add(new CallIdHistory.Entry(message.content.callId(), answer, in.readLong()),
+                    clock.micros());
+        }
+    }
+
     /**
      * Adds an attempt. An earlier attempt that could not be recorded was not sent, but its number is not used again.
      * An attempt that ended as {@code NOT_SENT} is added for each missing number. Former versions recorded some twice.
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -89,6 +89,8 @@
     Future<?> overdueTimer;
     /** True once neither a delivery nor a notice is outstanding. */
     boolean finished;
+    /** True once a newer process owns the message. */
+    boolean handedOver;
     /** True if the client disconnected before its response. */
     boolean withdrawn;
     private int attemptsInFlight;
--- a/src/test/java/drumdeal/relay/JournalPropertyTest.java
+++ b/src/test/java/drumdeal/relay/JournalPropertyTest.java
@@ -11,10 +11,13 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +34,9 @@
     private static final long DISK_LIMIT_BYTES = 40_000;
     private static final int MAX_BODY_BYTES = 1_500;
     private static final int MAX_OPEN_MESSAGES = 12;
+    /** The journal has room for the ids of at least as many messages that are over. */
+    private static final int MIN_CALL_IDS = 10;
+    private static final long DEADLINE = new Clock().micros() + TimeUnit.HOURS.toMicros(1);
 
     @TempDir
     Path temporaryFolder;
@@ -51,10 +57,13 @@
     /** The messages that a replay has to find, by number. */
     private static final class Model {
         final Map<Long, MessageState> messages = new TreeMap<>();
+        /** Call ids of messages that are over, and what to answer, in the order in which they ended. */
+        final Map<String, CallIdHistory.Answer> settled = new LinkedHashMap<>();
 
         Model copy() {
             Model copy = new Model();
             copy.messages.putAll(messages);
+            copy.settled.putAll(settled);
             return copy;
         }
 
@@ -128,7 +137,7 @@
     /** A compaction writes what the messages in memory say, also what could not be recorded before. */
     private void onCompaction() {
         compactions++;
-        model = new Model();
+        model.messages.clear();
         for (Message message : open) {
             model.messages.put(message.number, new MessageState(message.content.callId(),
                     message.content.body().length, List.of(), message.nonDelivery));
@@ -150,7 +159,7 @@
 
     private Message createMessage() {
         long number = nextNumber++;
-        return new Message(number, new Message.Content("id" + number, "safe", "acme", null, 123, 7,
+        return new Message(number, new Message.Content("id" + number, "safe", "acme", null, DEADLINE, 7,
                 new byte[random.nextInt(MAX_BODY_BYTES)]), null);
     }
 
@@ -254,9 +263,13 @@
         }
         open.remove(message);
         long bytesBefore = Files.size(segmentIn(folder));
-        journal.recordDone(message);
+        CallIdHistory.Answer answer = random.nextBoolean() ? CallIdHistory.Answer.ACCEPTED : null;
+        journal.recordDone(message, answer);
         if (Files.size(segmentIn(folder)) != bytesBefore) {
             model.messages.remove(message.number);
+            if (answer != null) {
+                model.settled.put(message.content.callId(), answer);
+            }
             possibleModels.add(model.copy());
         }
     }
@@ -353,5 +366,12 @@
         Map<Long, MessageState> found = new TreeMap<>();
         open.forEach(m -> found.put(m.number, MessageState.of(m)));
         assertEquals(model.messages, found, place);
+        List<String> settled = List.copyOf(model.settled.keySet());
+        Map<String, CallIdHistory.Answer> foundSettled = journal.settledCallIds().entries().stream()
+                .collect(Collectors.toMap(CallIdHistory.Entry::callId, CallIdHistory.Entry::answer));
+        assertTrue(model.settled.entrySet().containsAll(foundSettled.entrySet()), place);
+        assertTrue(foundSettled.keySet().containsAll(
+                settled.subList(Math.max(0, settled.size() - MIN_CALL_IDS), settled.size())),
+                () -> place + ": found " + foundSettled + " of " + settled);
     }
 }
--- a/src/test/java/drumdeal/relay/JournalTest.java
+++ b/src/test/java/drumdeal/relay/JournalTest.java
@@ -63,7 +63,7 @@
             while (journal.recordAttempt(messages.get(attempts % 100).addAttempt("r", 50))) {
                 attempts++;
             }
-            messages.forEach(journal::recordDone);
+            messages.forEach(message -> journal.recordDone(message, null));
             int compactions = Integer.parseInt(segmentFile().getFileName().toString().replaceAll("\\D", ""));
             assertTrue(compactions < 10, "number of compactions: " + compactions);
         }
@@ -84,7 +84,7 @@
             assertTrue(journal.recordAttempt(first.addAttempt("r2", 60)));
             second.nonDelivery = new Message.NonDelivery(true, 5);
             journal.recordEnd(second);
-            journal.recordDone(createMessage(3, 0));
+            journal.recordDone(createMessage(3, 0), null);
         }
         List<Message> open = readAfterReopening();
         assertEquals(2, open.size());
@@ -247,7 +247,7 @@
                     assertTrue(journal.recordAttempt(message.addAttempt("r", 1)));
                 } else {
                     rejected++;
-                    journal.recordDone(unfinished.poll());
+                    journal.recordDone(unfinished.poll(), null);
                 }
                 maxUsedBytes = Math.max(maxUsedBytes, usedDiskBytes());
             }
@@ -298,6 +298,64 @@
         assertEquals(List.of(1L, 2L), readAfterReopening().stream().map(m -> m.number).toList());
     }
 
+    private List<String> settledCallIds() throws IOException {
+        return Journal.read(folder, DISK_LIMIT_BYTES).settledCallIds().stream().map(CallIdHistory.Entry::callId)
+                .toList();
+    }
+
+    private static Message createMessageWithTimeLeft(long number, int bodyBytes) {
+        long deadline = new Clock().micros() + 60_000_000;
+        return new Message(number,
+                new Message.Content("id" + number, "safe", "acme", null, deadline, 7, new byte[bodyBytes]), null);
+    }
+
+    /** Guards against a second run, after a restart, of a message that is over. */
+    @Test
+    void callIdsOfMessagesThatAreOverAreFoundAgain() throws IOException {
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            Message delivered = createMessageWithTimeLeft(1, 10);
+            Message handedOver = createMessageWithTimeLeft(2, 10);
+            Message expired = createMessage(3, 10);
+            for (Message message : List.of(delivered, handedOver, expired)) {
+                assertTrue(journal.recordAccepted(message));
+            }
+            journal.recordDone(delivered, CallIdHistory.Answer.ACCEPTED);
+            journal.recordDone(handedOver, null);
+            journal.recordDone(expired, CallIdHistory.Answer.FAILED);
+        }
+        assertEquals(List.of("id1"), settledCallIds());
+    }
+
+    /** Guards against compactions that drop the ids, and against ids that take the room of messages. */
+    @Test
+    void latestCallIdsSurviveCompactionsWithinTheirShareOfTheDisk() throws IOException {
+        int last = 20_000;
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            for (int number = 1; number <= last; number++) {
+                Message message = createMessageWithTimeLeft(number, 100);
+                assertTrue(journal.recordAccepted(message), "message " + number);
+                journal.recordDone(message, CallIdHistory.Answer.ACCEPTED);
+            }
+            assertTrue(usedDiskBytes() < 0.25 * DISK_LIMIT_BYTES, "size on disk, in bytes: " + usedDiskBytes());
+        }
+        assertFalse(segmentFile().toString().endsWith("journal-0000000000.log"), "no compaction");
+        List<String> found = settledCallIds();
+        assertTrue(found.size() > 2_000, "ids found: " + found.size());
+        assertEquals("id" + last, found.get(found.size() - 1));
+        assertEquals("id" + (last - 2_000), found.get(found.size() - 2_001));
+    }
+
+    @Test
+    void callIdsOfAnotherProcessAreRecorded() throws IOException {
+        long expiresAt = new Clock().micros() + 60_000_000;
+        try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
+            journal.recordAdoptedCallIds(
+                    List.of(new CallIdHistory.Entry("adopted", CallIdHistory.Answer.FAILED, expiresAt)));
+        }
+        assertEquals(List.of(new CallIdHistory.Entry("adopted", CallIdHistory.Answer.FAILED, expiresAt)),
+                Journal.read(folder, DISK_LIMIT_BYTES).settledCallIds());
+    }
+
     /** Guards against an attempt that the compaction which makes room for its record writes as well. */
     @Test
     void attemptThatNeedsACompactionIsRecordedOnce() throws IOException {
@@ -314,7 +372,7 @@
                 for (int attempts = 0; attempts < 25; attempts++) {
                     assertTrue(journal.recordAttempt(finished.addAttempt("a-route-of-some-length", 50)));
                 }
-                journal.recordDone(finished);
+                journal.recordDone(finished, null);
             }
             Path segment = segmentFile();
             while (Files.exists(segment)) {
@@ -396,13 +454,13 @@
             }
             for (Message message : messages) {
                 assertTrue(newer.recordAdopted(List.of(message)), "message " + message.number);
-                older.recordDone(message);
+                older.recordDone(message, null);
             }
             for (Message message : messages) {
                 assertTrue(newer.recordAttempt(message.addAttempt("r", 50)), "message " + message.number);
             }
             assertTrue(Journal.sizeOnDisk(folder) + Journal.sizeOnDisk(newerFolder) < DISK_LIMIT_BYTES);
-            messages.forEach(newer::recordDone);
+            messages.forEach(message -> newer.recordDone(message, null));
         }
         try (Journal newer = new Journal(newerFolder, DISK_LIMIT_BYTES)) {
             assertTrue(newer.unfinishedMessages().isEmpty());
@@ -419,7 +477,7 @@
                 messages.add(createMessage(number, 8_000));
                 assertTrue(leaving.recordAccepted(messages.get(number - 1)));
             }
-            messages.forEach(leaving::recordDone);
+            messages.forEach(message -> leaving.recordDone(message, null));
         }
         try (Journal journal = new Journal(folder, DISK_LIMIT_BYTES)) {
             journal.budget().shareWithEnded(folder.resolve("1"), DISK_LIMIT_BYTES / 3);
@@ -437,7 +495,7 @@
             for (int number = 1; number <= 145; number++) {
                 messages.add(createMessage(number, 8_000));
                 if (number > 110) {
-                    journal.recordDone(messages.get(number - 111));
+                    journal.recordDone(messages.get(number - 111), null);
                 }
                 assertTrue(journal.recordAccepted(messages.get(number - 1)));
             }
@@ -458,7 +516,7 @@
             leaving.budget().startHandover();
             assertTrue(leaving.recordAccepted(open));
             for (int number = 2; leaving.recordAccepted(createMessage(number, 8_000)); number++) {
-                leaving.recordDone(createMessage(number, 0));
+                leaving.recordDone(createMessage(number, 0), null);
             }
             while (leaving.recordAttempt(open.addAttempt("r", 50))) {
                 continue;
--- a/src/test/java/drumdeal/relay/LargeFilesTest.java
+++ b/src/test/java/drumdeal/relay/LargeFilesTest.java
@@ -41,7 +41,7 @@
                         7, new byte[BODY_BYTES]), TERMS);
                 assertTrue(journal.recordAccepted(message));
                 if (number <= finished) {
-                    journal.recordDone(message);
+                    journal.recordDone(message, null);
                 }
             }
         }
--- a/src/test/java/drumdeal/relay/RelayProcess.java
+++ b/src/test/java/drumdeal/relay/RelayProcess.java
@@ -361,7 +361,7 @@
             for (Path file : files.filter(f -> f.getFileName().toString().startsWith("journal-")).toList()) {
                 Files.copy(file, copy.resolve(file.getFileName()));
             }
-            return Journal.readUnfinishedMessages(copy, 3 << 20);
+            return Journal.read(copy, 3 << 20).unfinishedMessages();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
+++ b/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -74,6 +75,51 @@
         assertEquals(1, host.countCalls("u1"));
     }
 
+    /** Guards against a second run of a message that was delivered right before the process was killed. */
+    @Test
+    void deliveredMessageIsNotDeliveredAgainAfterAKill() throws IOException {
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.hasReceived("u1") && relay.readOpenMessages().isEmpty());
+        relay.kill();
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        deliverAnother(relay);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    /** The same for a message that was reported dead, and a planned restart. */
+    @Test
+    void deadMessageIsNotDeliveredAgainAfterAPlannedRestart() throws IOException, InterruptedException {
+        host.setResponder(request -> StubPeer.CLOSE_CONNECTION);
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> relay.hasSentNotice("u1", "dead") && relay.readOpenMessages().isEmpty());
+        relay.terminate();
+        assertTrue(relay.waitForExit());
+        host.setResponder(request -> respondWithStatus(200));
+        relay.start();
+        assertEquals(500, relay.submit("u1", "unsafe", 7));
+        deliverAnother(relay);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
+    /** The same for a process whose folder another one adopts, which is then killed as well. */
+    @Test
+    void deliveredMessageIsNotDeliveredAgainAfterTheAdoptionOfItsFolder() throws IOException {
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        await(() -> host.hasReceived("u1") && relay.readOpenMessages().isEmpty());
+        successor = relay.createSuccessor().start();
+        relay.kill();
+        await(() -> List.of(relay.stateFolder().toFile().list()).stream().noneMatch(f -> f.startsWith("journal-")));
+        successor.kill();
+        relay.start();
+        assertEquals(202, relay.submit("u1", "unsafe", 7));
+        deliverAnother(relay);
+        assertEquals(1, host.countCalls("u1"));
+    }
+
     /** A message that its client withdrew before anything was sent is accepted like a new one. */
     @Test
     void withdrawnMessageThatWasNotSentIsAcceptedAgain() throws IOException {
