Accept a message anew whose client has left when it is submitted again

Cause: the end of the first connection was not read yet, so the second submission was answered 500.

Change: the first connection is read before the second submission is answered.

Result: the new test of RepeatedCallIdTest failed with 500 without it.

--- a/src/main/java/drumdeal/relay/ClientConnection.java
+++ b/src/main/java/drumdeal/relay/ClientConnection.java
@@ -442,6 +442,12 @@
         sendResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
     }
 
+    @Override
+    public boolean hasClientLeft() {
+        readNow();
+        return !context.channel().isActive();
+    }
+
     private void sendResponse(HttpResponseStatus status, long retryAfterMicros) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -447,6 +447,7 @@
      */
     Message acceptMessage(Message.Content content, Policy.RequestTerms terms, long unreadSince,
             Message.ClientReply reply) {
+        withdrawIfClientLeft(messagesByCallId.get(content.callId()));
         CallIdHistory.Answer known = answerToRepetition(content.callId());
         if (known != null) {
             counters.count("submitted again");
@@ -491,6 +492,13 @@
         return message;
     }
 
+    /** Withdraws a message whose client has left before its response, which may not have been noticed yet. */
+    private void withdrawIfClientLeft(Message message) {
+        if (message != null && message.pendingReply != null && message.pendingReply.hasClientLeft()) {
+            withdraw(message);
+        }
+    }
+
     /** What the client of a message with this id is answered; null if no such message is known. */
     private CallIdHistory.Answer answerToRepetition(String callId) {
         Message existing = messagesByCallId.get(callId);
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -145,7 +145,7 @@
         return attemptsInFlight > 0;
     }
 
-    /** Sends the response to a client that has submitted a message. At most one method is called, and only once. */
+    /** Sends the response to a client that has submitted a message. At most one response is sent, and only once. */
     interface ClientReply {
         void sendAccepted();
 
@@ -154,5 +154,8 @@
 
         /** The message is not delivered, and may have taken effect. */
         void sendFailed();
+
+        /** True if the client has disconnected, which may not have been noticed before. */
+        boolean hasClientLeft();
     }
 }
--- a/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
+++ b/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
@@ -133,6 +133,37 @@
         await(() -> host.countCalls("u1") == 1);
     }
 
+    /** Guards against a failure reported for a message whose client has left and submits it again at once. */
+    @Test
+    void messageOfAClientThatLeftIsAcceptedAgainBeforeItsEndOfConnectionIsRead() throws IOException {
+        relay.roundPeriodSeconds("1").start();
+        int status = 503;
+        int tries = 0;
+        // A relay short of CPU rejects a request that may have lain unread for long.
+        for (; status == 503 && tries < 20; tries++) {
+            status = submitAgainBeforeTheFirstConnectionEnds("u" + tries);
+        }
+        assertEquals(202, status);
+        String id = "u" + (tries - 1);
+        await(() -> host.countCalls(id) == 1);
+    }
+
+    /** Submits a message twice. The relay finds the second request and the end of the first connection at once. */
+    private int submitAgainBeforeTheFirstConnectionEnds(String id) throws IOException {
+        String request = RelayProcess.messageRequest(id, "unsafe", 7, 20_000, "x");
+        Socket first = relay.connect();
+        try (Socket second = relay.connect()) {
+            assertEquals(404, RelayProcess.exchange(second, "GET /nosuch HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            first.getOutputStream().write(request.getBytes());
+            await(() -> relay.readOpenMessages().stream().anyMatch(m -> m.content.callId().equals(id)));
+            relay.pause();
+            second.getOutputStream().write(request.getBytes());
+            first.close();
+            relay.resume();
+            return RelayProcess.exchange(second, "").status();
+        }
+    }
+
     /** Guards against a second run at the newer process while the older one still has the message's call out. */
     @Test
     void messageThatTheOlderProcessHoldsIsNotDeliveredByTheNewerOne() throws Exception {
