Keep a message that was confirmed to a second submission

Cause: the failed write of the first response withdrew it, although its client had read 202 on another connection.

Change: a message that was confirmed once more is not withdrawn.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -503,7 +503,9 @@
     private CallIdHistory.Answer answerToRepetition(String callId) {
         Message existing = messagesByCallId.get(callId);
         if (existing != null) {
-            return answerToRepetition(existing);
+            CallIdHistory.Answer answer = answerToRepetition(existing);
+            existing.confirmedAgain |= answer == CallIdHistory.Answer.ACCEPTED;
+            return answer;
         }
         CallIdHistory.Answer settled = settledCallIds.answerFor(callId, clock.micros());
         return settled != null ? settled : predecessorCallIds.answerFor(callId, clock.micros());
@@ -530,10 +532,13 @@
                 content.idempotencyKey(), content.deadline(), content.destination(), message.terms);
     }
 
-    /** The client disconnected before its response: its message is dropped, unless its end is decided. */
+    /**
+     * The client disconnected before its response: its message is dropped, unless its end is decided, or the client has
+     * read on another connection that it is accepted.
+     */
     void withdraw(Message message) {
         message.pendingReply = null;
-        if (messagesByNumber.containsKey(message.number) && message.nonDelivery == null && !message.finished) {
+        if (!message.confirmedAgain && messagesByNumber.containsKey(message.number) && message.nonDelivery == null && !message.finished) {
             counters.count("withdrawn");
             message.withdrawn = true;
             addEvent(new Policy.RequestWithdrawn(message.number));
--- a/src/main/java/drumdeal/relay/Message.java
+++ b/src/main/java/drumdeal/relay/Message.java
@@ -91,6 +91,8 @@
     boolean finished;
     /** True once a newer process owns the message. */
     boolean handedOver;
+    /** True once a client that submitted the message again was told that it is accepted. */
+    boolean confirmedAgain;
     /** True if the client disconnected before its response. */
     boolean withdrawn;
     private int attemptsInFlight;
--- a/src/test/java/drumdeal/relay/IdleHostConnectionTest.java
+++ b/src/test/java/drumdeal/relay/IdleHostConnectionTest.java
@@ -12,11 +12,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
@@ -43,19 +41,9 @@
     @BeforeEach
     void createClient() throws Exception {
         host = StubPeer.always(respondWithStatus(200));
-        Policy.RequestClass requestClass = new Policy.RequestClass("once", Policy.Idempotency.ONCE,
-                Policy.KeyScope.ALL, 0, 1, 20_000_000, 1, 0, false);
-        Policy.Settings settings = new Policy.Settings(1, 0, 1, "z", List.of(requestClass), List.of(),
-                List.of(new Policy.DestinationKind("one", false, 1)), List.of(),
-                new Policy.Limits(8, 8, 8, true, false, false, false, true, 1_000_000),
-                new Policy.ServiceRules(0, 1, 2, 1, 0.2, 1, 1, 0), 1, false, true, Policy.RateHint.NONE, 0);
-        InetSocketAddress unusedAddress = Config.parseAddress("127.0.0.1:1");
-        Config config = new Config(unusedAddress, null, unusedAddress, null, 256, 1 << 20, settings, 5000, 100_000_000,
-                false, -1, List.of(), Map.of());
-        Target target = new Target(new Policy.ListedRoute("h", 7, "one", "z", Policy.Availability.LISTED, 0),
-                Config.parseAddress(host.address()));
+        Target target = TestConfig.target("h", 7, Config.parseAddress(host.address()));
         eventLoop.submit(() -> {
-            client = new HostClient(eventLoop, clock, config, this);
+            client = new HostClient(eventLoop, clock, TestConfig.create(), this);
             client.updateTargets(Policy.RouteListUpdateType.FULL, List.of(target));
         }).sync();
     }
@@ -70,7 +58,7 @@
     private Message.Attempt send(String id) {
         long now = clock.micros();
         Message message = new Message(1,
-                new Message.Content(id, "once", null, null, now + 20_000_000, 7, new byte[5]), null);
+                new Message.Content(id, TestConfig.REQUEST_CLASS, null, null, now + 20_000_000, 7, new byte[5]), null);
         Message.Attempt attempt = message.addAttempt("h", now);
         client.send("h", List.of(new HostClient.OutgoingAttempt(attempt, 10_000_000, Long.MAX_VALUE)));
         return attempt;
