Move the answers to repeated call ids out of the engine into a module of their own

The engine's table by call id and its two histories stand in SubmittedCallIds. One constant bounds the bytes of a read or write of files and frames. No change of behaviour.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -57,11 +57,7 @@
     private final Set<Integer> knownDestinations = new HashSet<>();
     /** Messages that are not settled, by their number in this process's journal, oldest first. */
     private final Map<Long, Message> messagesByNumber = new LinkedHashMap<>();
-    private final Map<String, Message> messagesByCallId = new HashMap<>();
-    /** Messages that were settled here, or by an earlier process. */
-    private final CallIdHistory settledCallIds;
-    /** Messages of the older process in an upgrade, as of its snapshot, that have not been handed over. */
-    private final CallIdHistory predecessorCallIds = new CallIdHistory();
+    private final SubmittedCallIds callIds;
     /** Attempts that the current round starts; they are sent at its end, those of one route together. */
     private final Map<String, List<HostClient.OutgoingAttempt>> outgoingByRoute = new LinkedHashMap<>();
     private final IntervalCounters counters = new IntervalCounters();
@@ -108,7 +104,7 @@
         settings = config.settings();
         roundDelayMicros = config.roundDelayMicros();
         this.journal = journal;
-        settledCallIds = journal.settledCallIds();
+        callIds = new SubmittedCallIds(clock, journal.settledCallIds());
         policy = policyFactory.apply(config.settings());
         hostClient = new HostClient(loop, clock, config, this);
         noticeSender = new NoticeSender(loop, new AgentClient(loop, config.discoveryAddress()),
@@ -222,18 +218,11 @@
 
     @Override
     public Message registerIfUnknown(Message message) {
-        return isKnown(message) ? null : register(message);
-    }
-
-    /** True if this process holds a message with the same id, or has held it. */
-    private boolean isKnown(Message message) {
-        String callId = message.content.callId();
-        return messagesByCallId.containsKey(callId) || settledCallIds.answerFor(callId, clock.micros()) != null;
+        return callIds.isKnown(message.content.callId()) ? null : register(message);
     }
 
     /** Gives a message of another process a number of this one. A client that resends it is answered from now on. */
     private Message register(Message message) {
-        predecessorCallIds.remove(message.content.callId());
         Message renumbered = message.withNumber(nextNumber++);
         indexMessage(renumbered);
         return renumbered;
@@ -266,7 +255,7 @@
         if (!listReceived && !snapshot.targets().isEmpty()) {
             updateTargets(Policy.RouteListUpdateType.CACHED, snapshot.listVersion(), snapshot.targets());
         }
-        snapshot.callIds().forEach(entry -> predecessorCallIds.add(entry, clock.micros()));
+        callIds.addOfPredecessor(snapshot.callIds());
         if (snapshot.terms() != null) {
             requestClasses.history().addFrom(snapshot.terms(), clock.micros());
             writeTerms();
@@ -297,37 +286,7 @@
         decisionsSuspended = true;
         return new HandoverSnapshot(listVersion, hostClient.targets(), policy.encodeLearnedState(),
                 hostClient.callsInFlight(), clientConnections + hostClient.connectionCount(),
-                requestClasses.history().snapshot(clock.micros()), callIds());
-    }
-
-    /** The ids of all messages that this process holds or has held, for the process that takes over. */
-    private List<CallIdHistory.Entry> callIds() {
-        List<CallIdHistory.Entry> callIds = new ArrayList<>(predecessorCallIds.entries());
-        callIds.addAll(settledCallIds.entries());
-        messagesByCallId.values().forEach(message -> callIds.add(new CallIdHistory.Entry(message.content.callId(),
-                answerToRepetition(message), message.clientDeadline)));
-        return callIds;
-    }
-
-    /**
-     * What a client is answered that submits a message again which this process holds. A client resends a request if
-     * its connection closed before the response. The message is accepted already, so it is confirmed, unless the first
-     * request still waits for its response, so the message may be withdrawn, or the end of the message is decided.
-     */
-    private static CallIdHistory.Answer answerToRepetition(Message message) {
-        return message.pendingReply == null && message.nonDelivery == null && !message.finished
-                ? CallIdHistory.Answer.ACCEPTED : CallIdHistory.Answer.FAILED;
-    }
-
-    /** The same for a message that is settled; null if it certainly took no effect, so that it may be accepted anew. */
-    private static CallIdHistory.Answer answerAfterSettlement(Message message) {
-        if (message.attempts.stream().anyMatch(attempt -> attempt.result == Result.OK)) {
-            return CallIdHistory.Answer.ACCEPTED;
-        }
-        if (message.withdrawn || message.nonDelivery != null) {
-            return message.mayHaveTakenEffect() ? CallIdHistory.Answer.FAILED : null;
-        }
-        return CallIdHistory.Answer.ACCEPTED;
+                requestClasses.history().snapshot(clock.micros()), callIds.entries());
     }
 
     /** Takes decisions from now on, starting with a round for the events that were kept. */
@@ -447,15 +406,11 @@
      */
     Message acceptMessage(Message.Content content, Policy.RequestTerms terms, long unreadSince,
             Message.ClientReply reply) {
-        withdrawIfClientLeft(messagesByCallId.get(content.callId()));
-        CallIdHistory.Answer known = answerToRepetition(content.callId());
+        Message existing = callIds.find(content.callId());
+        withdrawIfClientLeft(existing);
+        CallIdHistory.Answer known = callIds.answerFor(content.callId());
         if (known != null) {
-            counters.count("submitted again");
-            if (known == CallIdHistory.Answer.ACCEPTED) {
-                reply.sendAccepted();
-            } else {
-                reply.sendFailed();
-            }
+            answerRepetition(existing, known, reply);
             return null;
         }
         // A list from before a restart may lack a newer destination, so the client gets a rejection and may retry.
@@ -499,16 +454,17 @@
         }
     }
 
-    /** What the client of a message with this id is answered; null if no such message is known. */
-    private CallIdHistory.Answer answerToRepetition(String callId) {
-        Message existing = messagesByCallId.get(callId);
+    /** Answers a client that submits a message again; {@code existing} is null if the message is settled. */
+    private void answerRepetition(Message existing, CallIdHistory.Answer answer, Message.ClientReply reply) {
+        counters.count("submitted again");
+        if (answer == CallIdHistory.Answer.FAILED) {
+            reply.sendFailed();
+            return;
+        }
         if (existing != null) {
-            CallIdHistory.Answer answer = answerToRepetition(existing);
-            existing.confirmedAgain |= answer == CallIdHistory.Answer.ACCEPTED;
-            return answer;
+            existing.confirmedAgain = true;
         }
-        CallIdHistory.Answer settled = settledCallIds.answerFor(callId, clock.micros());
-        return settled != null ? settled : predecessorCallIds.answerFor(callId, clock.micros());
+        reply.sendAccepted();
     }
 
     /** Counts a request that is not accepted. */
@@ -518,12 +474,12 @@
 
     private void indexMessage(Message message) {
         messagesByNumber.put(message.number, message);
-        messagesByCallId.put(message.content.callId(), message);
+        callIds.add(message);
     }
 
     private void unindexMessage(Message message) {
         messagesByNumber.remove(message.number);
-        messagesByCallId.remove(message.content.callId(), message);
+        callIds.remove(message);
     }
 
     private static Policy.RequestAccepted acceptedEvent(Message message) {
@@ -538,7 +494,9 @@
      */
     void withdraw(Message message) {
         message.pendingReply = null;
-        if (!message.confirmedAgain && messagesByNumber.containsKey(message.number) && message.nonDelivery == null && !message.finished) {
+        boolean open = messagesByNumber.containsKey(message.number) && message.nonDelivery == null
+                && !message.finished;
+        if (open && !message.confirmedAgain) {
             counters.count("withdrawn");
             message.withdrawn = true;
             addEvent(new Policy.RequestWithdrawn(message.number));
@@ -696,18 +654,14 @@
     }
 
     private void recordDone(Message message) {
-        journal.recordDone(message, message.handedOver ? null : answerAfterSettlement(message));
+        journal.recordDone(message, message.handedOver ? null : SubmittedCallIds.answerAfterSettlement(message));
     }
 
     /** Forgets a message once it is finished and its last attempt has ended. */
     private void removeIfSettled(Message message) {
         if (message.finished && !message.hasAttemptsInFlight() && messagesByNumber.containsKey(message.number)) {
-            unindexMessage(message);
-            CallIdHistory.Answer answer = answerAfterSettlement(message);
-            if (answer != null) {
-                settledCallIds.add(new CallIdHistory.Entry(message.content.callId(), answer, message.clientDeadline),
-                        clock.micros());
-            }
+            messagesByNumber.remove(message.number);
+            callIds.settle(message);
         }
     }
 
--- a/src/main/java/drumdeal/relay/Handover.java
+++ b/src/main/java/drumdeal/relay/Handover.java
@@ -28,7 +28,6 @@
      */
     static final int VERSION = 1;
     private static final int MAX_FRAME_BYTES = 16 << 20;
-    private static final int MAX_WRITE_BYTES = 64 << 10;
 
     /**
      * Type of a frame. Types are sent by position: constants must not be reordered or removed.
@@ -71,8 +70,8 @@
         @Override
         public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
             ByteBuf bytes = (ByteBuf) message;
-            while (bytes.readableBytes() > MAX_WRITE_BYTES) {
-                ctx.write(bytes.readRetainedSlice(MAX_WRITE_BYTES));
+            while (bytes.readableBytes() > StateFolder.MAX_TRANSFER_BYTES) {
+                ctx.write(bytes.readRetainedSlice(StateFolder.MAX_TRANSFER_BYTES));
             }
             ctx.write(bytes, promise);
         }
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -44,8 +44,6 @@
 
     private static final String SEGMENT_NAME_FORMAT = "journal-%010d.log";
     private static final String TEMPORARY_SEGMENT_NAME = "journal.new";
-    /** Most bytes of one write: the JDK copies them to direct memory, which is scarce. */
-    private static final int MAX_WRITE_BYTES = 64 << 10;
 
     /** Largest attempt number that replay accepts; a record with a larger one can't be used. */
     private static final int MAX_ATTEMPTS = 10_000;
@@ -289,6 +287,7 @@
     boolean recordAttempt(Message.Attempt attempt) {
         // Without attempts no message may end, and only the end of one would lead to a compaction.
         makeRoom(encodeAttempt(attempt).length, DiskBudget.Purpose.ATTEMPT);
+        // Encoded again, as a compaction may record other attempts first and so change the number of this one.
         if (!appendForMessage(attempt.message, encodeAttempt(attempt), DiskBudget.Purpose.ATTEMPT)) {
             return false;
         }
@@ -424,7 +423,7 @@
     private static void writeFully(FileChannel channel, byte[] record, long offset) throws IOException {
         ByteBuffer remaining = ByteBuffer.wrap(record);
         while (remaining.position() < record.length) {
-            remaining.limit(Math.min(record.length, remaining.position() + MAX_WRITE_BYTES));
+            remaining.limit(Math.min(record.length, remaining.position() + StateFolder.MAX_TRANSFER_BYTES));
             channel.write(remaining, offset + remaining.position());
         }
     }
--- a/src/main/java/drumdeal/relay/StateFolder.java
+++ b/src/main/java/drumdeal/relay/StateFolder.java
@@ -19,6 +19,8 @@
  * its process folder; the operating system releases the lock however the process ends.
  */
 final class StateFolder {
+    /** Most bytes of one read or write: the JDK copies them to direct memory, which is scarce. */
+    static final int MAX_TRANSFER_BYTES = 64 << 10;
     private static final int MAX_PROCESS_FOLDERS = 4;
     private static final String LOCK_FILE_NAME = "owner.lock";
 
