--- a/src/test/java/drumdeal/relay/HandoverStorageTest.java
+++ b/src/test/java/drumdeal/relay/HandoverStorageTest.java
@@ -20,7 +20,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -33,21 +32,12 @@
     /** Together more than a newer process has room for. */
     private static final int OFFERED_MESSAGES = 95;
 
-    private RelayProcess successor;
-
     @BeforeEach
     void prepare() throws IOException {
         prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(respondWithStatus(200)));
         relay.limitDisk(DISK_MB);
     }
 
-    @AfterEach
-    void closeSuccessor() {
-        if (successor != null) {
-            successor.close();
-        }
-    }
-
     private static Message createMessage(long number, String id, long budgetMillis) {
         long deadline = new Clock().micros() + budgetMillis * 1000;
         return new Message(number,
--- a/src/test/java/drumdeal/relay/RelayTestBase.java
+++ b/src/test/java/drumdeal/relay/RelayTestBase.java
@@ -5,13 +5,18 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Base of tests that run a relay with one host and discovery; all three are closed after each test. */
+/**
+ * Base of tests that run a relay with one host and discovery, and maybe a newer process of the relay; all are closed
+ * after each test.
+ */
 abstract class RelayTestBase {
     @TempDir
     Path folder;
     StubPeer discovery;
     StubPeer host;
     RelayProcess relay;
+    /** The newer process of an upgrade; null until a test starts one. */
+    RelayProcess successor;
 
     /** Creates a relay, not started yet, whose configuration lists the host at destination 7. */
     void prepare(StubPeer discovery, StubPeer host) {
@@ -22,6 +27,9 @@
 
     @AfterEach
     void closeRelayAndPeers() throws IOException {
+        if (successor != null) {
+            successor.close();
+        }
         relay.close();
         host.close();
         discovery.close();
--- a/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
+++ b/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
@@ -12,26 +12,16 @@
 import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** A message whose client left without reading its response, and submits it again under the same id. */
 class RepeatedCallIdTest extends RelayTestBase {
-    private RelayProcess successor;
-
     @BeforeEach
     void prepare() throws IOException {
         prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(respondWithStatus(200)));
     }
 
-    @AfterEach
-    void closeSuccessor() {
-        if (successor != null) {
-            successor.close();
-        }
-    }
-
     /** Submits a message whose host is called after any that was accepted before. */
     private void deliverAnother(RelayProcess process) {
         String other = process.submitUntilAccepted("other", "unsafe", 7);
--- a/src/test/java/drumdeal/relay/TermsChangeoverTest.java
+++ b/src/test/java/drumdeal/relay/TermsChangeoverTest.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -20,20 +19,11 @@
  * a message that may not be repeated is called once and reported dead.
  */
 class TermsChangeoverTest extends RelayTestBase {
-    private RelayProcess successor;
-
     @BeforeEach
     void prepare() throws IOException {
         prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(StubPeer.CLOSE_CONNECTION));
     }
 
-    @AfterEach
-    void closeSuccessor() {
-        if (successor != null) {
-            successor.close();
-        }
-    }
-
     private static String withRepeatablePayments(String text) {
         return text.replace("\"name\":\"unsafe\",\"repeat\":\"once\"", "\"name\":\"unsafe\",\"repeat\":\"repeatable\"");
     }
--- a/src/test/java/drumdeal/relay/UnreachableProcessTest.java
+++ b/src/test/java/drumdeal/relay/UnreachableProcessTest.java
@@ -15,7 +15,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,20 +25,11 @@
 class UnreachableProcessTest extends RelayTestBase {
     private static final int LONG_PATH_LENGTH = 150;
 
-    private RelayProcess successor;
-
     @BeforeEach
     void prepare() throws IOException {
         prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(respondWithStatus(200)));
     }
 
-    @AfterEach
-    void closeSuccessor() {
-        if (successor != null) {
-            successor.close();
-        }
-    }
-
     private ServerSocketChannel bindSocket() throws IOException {
         ServerSocketChannel socket = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         socket.bind(RelayProcess.handoverAddress(relay.stateFolder()));
--- a/src/test/java/drumdeal/relay/UpgradeTest.java
+++ b/src/test/java/drumdeal/relay/UpgradeTest.java
@@ -17,26 +17,16 @@
 import java.nio.file.Files;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Two processes of one relay: the newer one takes over from the older one. */
 class UpgradeTest extends RelayTestBase {
-    private RelayProcess successor;
-
     @BeforeEach
     void prepare() throws IOException {
         prepare(RelayProcess.discoveryWithoutChanges(), StubPeer.always(StubPeer.NO_RESPONSE));
     }
 
-    @AfterEach
-    void closeSuccessor() {
-        if (successor != null) {
-            successor.close();
-        }
-    }
-
     @Test
     void newerProcessServesAndTheOlderExitsByItself() throws IOException, InterruptedException {
         host.setResponder(request -> respondWithStatus(200));
