--- a/src/test/java/drumdeal/relay/RefusedConnectionTest.java
+++ b/src/test/java/drumdeal/relay/RefusedConnectionTest.java
@@ -58,6 +58,14 @@
     }
 
     /** Guards against connecting again and again, thousands of times a second, with one attempt that does not end. */
+    /** Starts the relay with a host that answers; that gets the message. */
+    private void assertDeliveredAfterRestart() throws IOException {
+        listHost();
+        relay.start();
+        await(() -> host.hasReceived("u1"));
+        assertFalse(relay.hasSentNotice("u1", "dead"));
+    }
+
     @Test
     void eachRefusedConnectionEndsOneAttempt() throws IOException {
         try (Socket refusing = refusingPort()) {
@@ -86,10 +94,7 @@
             assertTrue(open.get(0).attempts.stream()
                     .allMatch(attempt -> attempt.result == Policy.Result.CONNECT_FAILED));
         }
-        listHost();
-        relay.start();
-        await(() -> host.hasReceived("u1"));
-        assertFalse(relay.hasSentNotice("u1", "dead"));
+        assertDeliveredAfterRestart();
     }
 
     /** The same for a planned restart. */
@@ -102,10 +107,7 @@
             relay.terminate();
             assertTrue(relay.waitForExit());
         }
-        listHost();
-        relay.start();
-        await(() -> host.hasReceived("u1"));
-        assertFalse(relay.hasSentNotice("u1", "dead"));
+        assertDeliveredAfterRestart();
     }
 
     /** Guards against taking a call that still waited for its connection for one that may have run. */
@@ -123,10 +125,7 @@
                 socket.close();
             }
         }
-        listHost();
-        relay.start();
-        await(() -> host.hasReceived("u1"));
-        assertFalse(relay.hasSentNotice("u1", "dead"));
+        assertDeliveredAfterRestart();
     }
 
     /** Connects to a server that accepts nothing until its system leaves a further connection unanswered. */
