Count a message that is given back to the older process as that one's again

Cause: on the loss of the connection the newer process forgot what it had received and not stored, with its id; a client that submitted it again there would have had it run twice.

Result: the new test of RepeatedCallIdTest could not be written against the former code, which had no such step.

--- a/src/main/java/drumdeal/relay/Engine.java
+++ b/src/main/java/drumdeal/relay/Engine.java
@@ -240,7 +240,8 @@
 
     @Override
     public void dropMessage(Message message) {
-        unindexMessage(message);
+        messagesByNumber.remove(message.number);
+        callIds.returnToPredecessor(message);
     }
 
     @Override
@@ -477,11 +478,6 @@
         callIds.add(message);
     }
 
-    private void unindexMessage(Message message) {
-        messagesByNumber.remove(message.number);
-        callIds.remove(message);
-    }
-
     private static Policy.RequestAccepted acceptedEvent(Message message) {
         Message.Content content = message.content;
         return new Policy.RequestAccepted(message.number, content.requestClass(), content.tenant(),
--- a/src/main/java/drumdeal/relay/SubmittedCallIds.java
+++ b/src/main/java/drumdeal/relay/SubmittedCallIds.java
@@ -41,14 +41,16 @@
         messages.put(message.content.callId(), message);
     }
 
-    /** Forgets a message that this process does not hold after all. */
-    void remove(Message message) {
+    /** The older process holds a message on, which this one had received and has given up. */
+    void returnToPredecessor(Message message) {
         messages.remove(message.content.callId(), message);
+        ofPredecessor.add(new CallIdHistory.Entry(message.content.callId(), answerWhileOpen(message),
+                message.clientDeadline), clock.micros());
     }
 
     /** A message is settled: its id is remembered if it may have taken effect. */
     void settle(Message message) {
-        remove(message);
+        messages.remove(message.content.callId(), message);
         CallIdHistory.Answer answer = answerAfterSettlement(message);
         if (answer != null) {
             settled.add(new CallIdHistory.Entry(message.content.callId(), answer, message.clientDeadline),
--- a/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
+++ b/src/test/java/drumdeal/relay/RepeatedCallIdTest.java
@@ -3,6 +3,7 @@
 import static drumdeal.relay.RelayProcess.await;
 import static drumdeal.relay.StubPeer.respondWithStatus;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -196,6 +197,19 @@
         }
     }
 
+    /** Guards against a second run at the newer process of a message that it gave back, as the connection was lost. */
+    @Test
+    void messageThatIsReturnedToTheOlderProcessStaysKnown() {
+        Clock clock = new Clock();
+        SubmittedCallIds callIds = new SubmittedCallIds(clock, new CallIdHistory());
+        Message message = new Message(1, new Message.Content("u1", "unsafe", null, null,
+                clock.micros() + 20_000_000, 7, new byte[5]), null);
+        callIds.add(message);
+        callIds.returnToPredecessor(message);
+        assertEquals(CallIdHistory.Answer.ACCEPTED, callIds.answerFor("u1"));
+        assertFalse(callIds.isKnown("u1"), "the older process could not hand it over any more");
+    }
+
     @Test
     void idsAreForgottenAfterTheirTimeAndBeyondTheLimitOfMemory() {
         CallIdHistory history = new CallIdHistory();
