Record adopted call ids at the end of an adoption, within their share of the disk

Cause, by reading: up to 2 MB of ids were recorded before the messages of the folder, and could take their room; a compaction wrote each id by a call of its own.

Change: ids are recorded after the messages, the latest that fit into a twentieth of the disk, in one write.

--- a/src/main/java/drumdeal/relay/FolderAdoption.java
+++ b/src/main/java/drumdeal/relay/FolderAdoption.java
@@ -32,6 +32,7 @@
     private final MessageOwner owner;
     private final StateFolder.LockedFolder lockedFolder;
     private final List<Message> messages = new ArrayList<>();
+    private List<CallIdHistory.Entry> settledCallIds = List.of();
     private boolean waitLogged;
 
     /** Prepares to adopt a folder that this process has locked. */
@@ -64,7 +65,8 @@
                 messages.add(registered);
             }
         }
-        journal.recordAdoptedCallIds(contents.settledCallIds());
+        settledCallIds = contents.settledCallIds();
+        settledCallIds.forEach(entry -> journal.settledCallIds().add(entry, clock.micros()));
         adoptOrWait();
     }
 
@@ -80,6 +82,7 @@
             Log.write("adopted " + messages.size() + " unfinished messages of a process that has ended");
         }
         takeOwnership(message -> true);
+        journal.recordAdoptedCallIds(settledCallIds);
         releaseFolder();
     }
 
--- a/src/main/java/drumdeal/relay/Journal.java
+++ b/src/main/java/drumdeal/relay/Journal.java
@@ -261,14 +261,12 @@
         return settledCallIds;
     }
 
-    /** Remembers call ids of another process, and records them as long as there is room. */
+    /** Records the latest call ids of another process, as far as they have room beside those that are recorded. */
     void recordAdoptedCallIds(List<CallIdHistory.Entry> entries) {
-        boolean hasRoom = true;
-        for (CallIdHistory.Entry entry : entries) {
-            settledCallIds.add(entry, clock.micros());
-            byte[] record = encodeCallId(entry);
-            hasRoom = hasRoom && append(record, DiskBudget.Purpose.ACCEPTED);
-            callIdBytes += hasRoom ? record.length : 0;
+        long room = budget.bytesForCallIds(segmentBytes, segmentBytes, DiskBudget.Purpose.ACCEPTED) - callIdBytes;
+        byte[] records = encodeLatestCallIds(entries, room);
+        if (append(records, DiskBudget.Purpose.ACCEPTED)) {
+            callIdBytes += records.length;
         }
     }
 
@@ -449,10 +447,9 @@
                     sizesByNumber.put(entry.message.number, (long) records.length);
                 }
                 nextUnfinishedBytes = writtenBytes;
-                for (byte[] record : encodeLatestCallIds(maxCallIdBytes)) {
-                    writeFully(nextChannel, record, writtenBytes);
-                    writtenBytes += record.length;
-                }
+                byte[] callIds = encodeLatestCallIds(settledCallIds.entries(), maxCallIdBytes);
+                writeFully(nextChannel, callIds, writtenBytes);
+                writtenBytes += callIds.length;
                 Files.move(temporaryPath, nextPath, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
                 nextChannel.close();
@@ -496,10 +493,9 @@
         return records.toByteArray();
     }
 
-    /** The records of the call ids added last, in the order in which they were added, up to a number of bytes. */
-    private Deque<byte[]> encodeLatestCallIds(long maxBytes) {
-        List<CallIdHistory.Entry> entries = settledCallIds.entries();
-        Deque<byte[]> records = new ArrayDeque<>();
+    /** The records of the last entries, in their order, up to a number of bytes. */
+    private static byte[] encodeLatestCallIds(List<CallIdHistory.Entry> entries, long maxBytes) {
+        Deque<byte[]> latest = new ArrayDeque<>();
         long bytes = 0;
         for (int i = entries.size() - 1; i >= 0; i--) {
             byte[] record = encodeCallId(entries.get(i));
@@ -507,9 +503,11 @@
             if (bytes > maxBytes) {
                 break;
             }
-            records.addFirst(record);
+            latest.addFirst(record);
         }
-        return records;
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        latest.forEach(records::writeBytes);
+        return records.toByteArray();
     }
 
     private static byte[] encodeCallId(CallIdHistory.Entry entry) {
