--- a/src/main/java/drumdeal/relay/PredecessorLink.java
+++ b/src/main/java/drumdeal/relay/PredecessorLink.java
@@ -84,7 +84,7 @@
     private boolean storeWaitLogged;
     /** Messages stored here that the older process has not released yet, by their number in that process. */
     private final Map<Long, Message> unreleasedMessages = new HashMap<>();
-    /** Null until {@link #takeOver}, and after it if no connection could be attempted. */
+    /** The latest connection; null until one is attempted. */
     private Channel channel;
     /** When the connection was last lost or could not be made, on {@link System#nanoTime}. */
     private long disconnectedAtNanos;
@@ -133,7 +133,12 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel connection) {
-                            Handover.attachFrameHandler(connection, PredecessorLink.this::onFrame);
+                            Handover.attachFrameHandler(connection, (type, in) -> {
+                                // What is decoded after the close must not count: the older process may have resumed.
+                                if (connection.isActive()) {
+                                    onFrame(type, in);
+                                }
+                            });
                         }
                     }).connect(socket.address());
             channel = connecting.channel();
