--- a/src/main/java/drumdeal/relay/SuccessorLink.java
+++ b/src/main/java/drumdeal/relay/SuccessorLink.java
@@ -169,7 +169,7 @@
         Handover.send(channel, Handover.FrameType.SNAPSHOT, snapshot::write);
         channel.closeFuture().addListener(closed -> onSuccessorClosed());
         loop.schedule(() -> {
-            if (!committed) {
+            if (channel != successorChannel || !successorListening) {
                 channel.close();
             }
         }, LISTEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/test/java/drumdeal/relay/UpgradeTest.java
+++ b/src/test/java/drumdeal/relay/UpgradeTest.java
@@ -4,9 +4,11 @@
 import static drumdeal.relay.StubPeer.respondWithStatus;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.DataInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.StandardProtocolFamily;
@@ -181,6 +183,12 @@
                 assertTrue(readFrame(fromOlder).startsWith("MESSAGE "), "the message was not sent to successor " + i);
             }
         }
+        try (var silent = SocketChannel.open(RelayProcess.handoverAddress(relay.stateFolder()))) {
+            DataInputStream fromOlder = new DataInputStream(Channels.newInputStream(silent));
+            requestHandover(silent);
+            assertTrue(readFrame(fromOlder).startsWith("SNAPSHOT "));
+            assertThrows(EOFException.class, () -> readFrame(fromOlder), "a process that never listens must not stay");
+        }
         assertFalse(relay.readLog().contains("takes the decisions again"), relay.readLog());
     }
 
