Test that a further successor which never listens loses its place

Cause: without the time-out the test passed too, as the older process left after 20 s and so closed the connection.

Change: a further process has to take over after it.

--- a/src/test/java/drumdeal/relay/UpgradeTest.java
+++ b/src/test/java/drumdeal/relay/UpgradeTest.java
@@ -174,24 +174,29 @@
         assertEquals(202, relay.submit("m0", "safe", 7));
         await(() -> relay.readOpenMessages().stream().flatMap(m -> m.attempts.stream())
                 .anyMatch(a -> a.result != null));
-        for (int i = 0; i < 2; i++) {
-            try (var toOlder = SocketChannel.open(RelayProcess.handoverAddress(relay.stateFolder()))) {
-                DataInputStream fromOlder = new DataInputStream(Channels.newInputStream(toOlder));
-                requestHandover(toOlder);
-                assertTrue(readFrame(fromOlder).startsWith("SNAPSHOT "));
-                writeFrame(toOlder, Handover.FrameType.LISTENING, out -> { });
-                assertTrue(readFrame(fromOlder).startsWith("MESSAGE "), "the message was not sent to successor " + i);
-            }
-        }
+        takeOverAndEnd();
         try (var silent = SocketChannel.open(RelayProcess.handoverAddress(relay.stateFolder()))) {
             DataInputStream fromOlder = new DataInputStream(Channels.newInputStream(silent));
             requestHandover(silent);
             assertTrue(readFrame(fromOlder).startsWith("SNAPSHOT "));
             assertThrows(EOFException.class, () -> readFrame(fromOlder), "a process that never listens must not stay");
         }
+        // The older process is still there: it was not its end that closed the connection.
+        takeOverAndEnd();
         assertFalse(relay.readLog().contains("takes the decisions again"), relay.readLog());
     }
 
+    /** Plays a newer process that takes over, gets a message and ends. */
+    private void takeOverAndEnd() throws IOException {
+        try (var toOlder = SocketChannel.open(RelayProcess.handoverAddress(relay.stateFolder()))) {
+            DataInputStream fromOlder = new DataInputStream(Channels.newInputStream(toOlder));
+            requestHandover(toOlder);
+            assertTrue(readFrame(fromOlder).startsWith("SNAPSHOT "));
+            writeFrame(toOlder, Handover.FrameType.LISTENING, out -> { });
+            assertTrue(readFrame(fromOlder).startsWith("MESSAGE "), "the message was not sent");
+        }
+    }
+
     @Test
     void deadOwnerAndStaleSocketDoNotPreventAStart() throws IOException {
         relay.start();
